--- /dev/null
+++ b/server/src/main/java/org/streamcourse/process/logging/JsonLogConfigurator.java
@@ -0,0 +1,62 @@
+package org.streamcourse.process.logging;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.spi.ConfiguratorRank;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.spi.ContextAwareBase;
+import net.logstash.logback.encoder.LogstashEncoder;
+
+/**
+ * Sets up the logs of a process: JSON lines on a standard stream, through a {@link LogQueue}. Done
+ * in code, since reading a configuration file takes a large part of the time to start.
+ *
+ * <p>Environment variables: {@code STREAMCOURSE_LOG_TARGET}, {@code System.err} when unset or
+ * {@code System.out}; {@code STREAMCOURSE_LOG_LEVEL}, {@code INFO} when unset. A file named by the
+ * system property {@code logback.configurationFile} is used in place of all this.
+ */
+@ConfiguratorRank(ConfiguratorRank.CUSTOM_TOP_PRIORITY)
+public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
+  private static final String TARGET_VARIABLE = "STREAMCOURSE_LOG_TARGET";
+  private static final String DEFAULT_TARGET = "System.err";
+  private static final String LEVEL_VARIABLE = "STREAMCOURSE_LOG_LEVEL";
+  private static final String FILE_PROPERTY = "logback.configurationFile";
+
+  @Override
+  public ExecutionStatus configure(LoggerContext context) {
+    if (System.getProperty(FILE_PROPERTY) != null) {
+      return ExecutionStatus.INVOKE_NEXT_IF_ANY;
+    }
+    LateAppender console = new LateAppender(() -> console(context));
+    console.setContext(context);
+    console.start();
+    LogQueue queue = new LogQueue();
+    queue.setContext(context);
+    queue.addAppender(console);
+    queue.start();
+    context.getLogger("io.netty").setLevel(Level.WARN);
+    context.getLogger("reactor").setLevel(Level.WARN);
+    context
+        .getLogger("org.streamcourse")
+        .setLevel(Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO));
+    context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
+    context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(queue);
+    Runtime.getRuntime().addShutdownHook(new Thread(context::stop, "log-flush"));
+    return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
+  }
+
+  private static ConsoleAppender<ILoggingEvent> console(LoggerContext context) {
+    LogstashEncoder encoder = new LogstashEncoder();
+    encoder.setContext(context);
+    encoder.start();
+    String target = System.getenv(TARGET_VARIABLE);
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setTarget(target == null ? DEFAULT_TARGET : target);
+    console.setEncoder(encoder);
+    console.start();
+    return console;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/process/logging/package-info.java
@@ -0,0 +1,2 @@
+/** How a process writes its structured log lines. */
+package org.streamcourse.process.logging;
