Controllers that start tell nodes what they had stored as committed, before an election

Cause: after a start of all machines edges listened at 35.37 s, but were confirmed at 35.95 s: an election, then a heartbeat that found the leader, then the next round of the leader.

Change: a frame of the log begins with the index that was known to be committed when it was written, so a restarted controller knows all but the last change as agreed without a write of its own; for 5 s after its start it tells that image to nodes that have none (StoredImage). A statement proxy serves with it until the leader confirms; operators' reads still need a confirmed leader. Heartbeats that came before the election are answered by the one who is elected, and a node that has just started or an operator's read gets a round of its own. Ruled out: uncommitted entries, which could be taken back under the same version.

--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -355,6 +355,8 @@
       LOG.info("member {}/{} is reachable again", service, member.id());
       unreachable = false;
       onHealthChange.run();
+    } else if (links.size() == 1) {
+      LOG.info("member {}/{} accepts this node", service, member.id());
     }
     release(link);
   }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -26,9 +26,10 @@
  * A proxy for services whose members register themselves, without its sockets. The process, tests
  * and the simulator use this class.
  *
- * <p>It serves once the controllers have confirmed an image with a routing document. It goes on
- * serving when it is cut off from them: what a read must have seen is shown by the members
- * themselves, and a replaced primary refuses.
+ * <p>It serves once the controllers have confirmed an image with a routing document, or one that
+ * has just started too has told what it had stored. It goes on serving when it is cut off from
+ * them: what a read must have seen is shown by the members themselves, and a replaced primary
+ * refuses.
  *
  * <p>All methods but the queries run on the node's worker.
  */
@@ -43,7 +44,7 @@
   private final MemberTable table;
   private final RequestLog log;
   private final Set<ClientSession> sessions = new LinkedHashSet<>();
-  private volatile boolean confirmed;
+  private volatile boolean mayServe;
   private volatile boolean stopping;
   private boolean draining;
   private long sessionNumbers;
@@ -75,7 +76,8 @@
             worker, network, new MemoryDisk(), codec, ControlSettings.DEFAULT, controllers, self);
     table.onHealthChange(this::reportAllMembers);
     agent.onImage(table::update);
-    agent.onConfirmed(() -> confirmed = true);
+    agent.onConfirmed(() -> mayServe = true);
+    agent.onStoredImage(() -> mayServe = true);
     agent.countSessions(sessions::size);
   }
 
@@ -198,7 +200,7 @@
 
   @Override
   public boolean isServing() {
-    return confirmed && image().document().isPresent();
+    return mayServe && image().document().isPresent();
   }
 
   @Override
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -52,6 +52,7 @@
   private long startingTimeout;
   private Disposable electionTimer = () -> {};
   private Disposable heartbeatTimer = () -> {};
+  private boolean roundSoon;
   private boolean stopped;
 
   /**
@@ -196,6 +197,27 @@
     }
   }
 
+  /**
+   * Runs a task as {@link #whenLeadershipConfirmed} does, with a round of its own in place of the
+   * next heartbeat's; all tasks of one turn of the worker share it.
+   *
+   * @param task what to run
+   */
+  public void whenLeadershipConfirmedSoon(Runnable task) {
+    whenLeadershipConfirmed(task);
+    if (!roundSoon) {
+      roundSoon = true;
+      worker.execute(this::startRoundSoon);
+    }
+  }
+
+  private void startRoundSoon() {
+    roundSoon = false;
+    if (!stopped && role instanceof LeaderState leader) {
+      startRound(leader);
+    }
+  }
+
   /**
    * Handles a message from another controller.
    *
--- a/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
@@ -30,11 +30,12 @@
     return commitIndex;
   }
 
-  /** Brings the state machine to the stored snapshot. */
+  /** Brings the state machine to what is stored and known to be committed. */
   void restore() {
     Snapshot snapshot = log.snapshot();
     if (snapshot != null) {
       restart(snapshot);
+      commitTo(log.storedCommit());
     }
   }
 
@@ -57,6 +58,7 @@
   /** Commits and applies all entries up to an index. */
   void commitTo(long index) {
     commitIndex = Math.max(commitIndex, index);
+    log.noteCommitted(commitIndex);
     while (appliedIndex < commitIndex) {
       appliedIndex++;
       LogEntry entry = log.entry(appliedIndex);
--- a/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
@@ -18,6 +18,10 @@
  * syncs it before it returns, so a crash can tear only the last frame of the last segment; such a
  * tail is cut on opening. Damage anywhere else means that acknowledged entries are lost, and
  * opening fails with {@link ErrorCode#CORRUPT_LOG}.
+ *
+ * <p>Before its entries a frame holds the index up to which entries were known to be committed when
+ * it was written. So a controller that starts knows most of what is agreed before it has heard of
+ * anybody, and no write of its own is needed for that.
  */
 public final class RecordLog {
   private static final String QUORUM_FILE = "quorum-state";
@@ -32,6 +36,8 @@
   private QuorumState quorumState;
   private Snapshot snapshot;
   private boolean replacedBySnapshot;
+  private long knownCommit;
+  private long storedCommit;
 
   private RecordLog(Disk disk, MessageCodec codec) {
     this.disk = disk;
@@ -166,12 +172,38 @@
       return;
     }
     String segment = segmentForAppend(added.get(0).index());
-    disk.appendAndSync(segment, Frames.write(codec.encode(new ArrayList<>(added))));
+    disk.appendAndSync(segment, frame(added));
     for (LogEntry entry : added) {
       entries.put(entry.index(), entry);
     }
   }
 
+  private byte[] frame(List<LogEntry> written) {
+    List<Object> items = new ArrayList<>();
+    items.add(knownCommit);
+    items.addAll(written);
+    return Frames.write(codec.encode(items));
+  }
+
+  /**
+   * Notes how far entries are committed; stored with the next append.
+   *
+   * @param index index of an entry known to be committed
+   */
+  void noteCommitted(long index) {
+    knownCommit = Math.max(knownCommit, index);
+  }
+
+  /**
+   * Returns the index up to which the entries in this log were known to be committed at an earlier
+   * append; more may be.
+   *
+   * @return index, at least that of the snapshot
+   */
+  long storedCommit() {
+    return Math.max(snapshotIndex(), Math.min(storedCommit, lastIndex()));
+  }
+
   /**
    * Appends new entries of a leader durably, in one write.
    *
@@ -286,7 +318,7 @@
 
   private void rewriteSegment(long firstIndex) {
     List<LogEntry> kept = new ArrayList<>(entries.tailMap(firstIndex, true).values());
-    byte[] content = kept.isEmpty() ? new byte[0] : Frames.write(codec.encode(kept));
+    byte[] content = kept.isEmpty() ? new byte[0] : frame(kept);
     disk.replace(segments.get(firstIndex), content);
   }
 
@@ -334,16 +366,23 @@
         return;
       }
       for (Object item : (List<?>) codec.decode(payload)) {
-        LogEntry entry = (LogEntry) item;
-        if (entry.index() > snapshotIndex()) {
-          entries.put(entry.index(), entry);
-        } else if (entry.index() == snapshotIndex() && entry.term() != snapshot.lastTerm()) {
-          replacedBySnapshot = true;
+        if (item instanceof LogEntry entry) {
+          loadEntry(entry);
+        } else {
+          storedCommit = Math.max(storedCommit, (Long) item);
         }
       }
     }
   }
 
+  private void loadEntry(LogEntry entry) {
+    if (entry.index() > snapshotIndex()) {
+      entries.put(entry.index(), entry);
+    } else if (entry.index() == snapshotIndex() && entry.term() != snapshot.lastTerm()) {
+      replacedBySnapshot = true;
+    }
+  }
+
   private void cutTail(String name, byte[] content, int start, boolean last) {
     if (!last || frameFollows(content, start)) {
       throw corrupt(name, "damaged frame at byte " + start + " before the tail of the log");
--- a/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
@@ -117,6 +117,14 @@
    */
   record LeaderHint(String leader) implements ControlMessage {}
 
+  /**
+   * What a controller that has just started knows to be agreed; newer versions may have been
+   * agreed.
+   *
+   * @param image stored image, as nodes need it
+   */
+  record StoredImage(ClusterImage image) implements ControlMessage {}
+
   /** What a gateway shall do with a member. */
   enum OrderKind {
     /** Make the member refuse everything of older terms. */
--- a/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
@@ -86,7 +86,8 @@
           ServiceCall.Status.class,
           ServiceCall.Result.class,
           ControlMessage.ForwardedCall.class,
-          ControlMessage.ForwardedResult.class);
+          ControlMessage.ForwardedResult.class,
+          ControlMessage.StoredImage.class);
 
   private ControlTypes() {}
 
--- a/server/src/main/java/org/streamcourse/version/control/Controller.java
+++ b/server/src/main/java/org/streamcourse/version/control/Controller.java
@@ -21,6 +21,7 @@
 import org.streamcourse.version.control.ControlMessage.MemberOrder;
 import org.streamcourse.version.control.ControlMessage.MemberOrderResult;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.control.ControlMessage.StoredImage;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterChange.ConfigurationChange;
 import org.streamcourse.version.image.ClusterDelta;
@@ -40,6 +41,12 @@
   private static final long ANY_VERSION = -1;
 
   /** Time between two supervisions beyond which the leader itself was late. */
+  /** Time after its start in which a controller that does not lead tells nodes what it stored. */
+  private static final long STORED_IMAGE_MILLIS = 5_000;
+
+  /** Heartbeats kept for the case that this controller is elected. */
+  private static final int MOST_EARLY_HEARTBEATS = 4_096;
+
   private static final long LATE_MILLIS = 500;
 
   /** Checks of groups under change for each check of the others, which only look for silence. */
@@ -60,6 +67,8 @@
   private final GroupSupervisor.Actions actions = new SupervisorActions();
   private final ServiceSupervisor services;
   private final ImagePusher pusher;
+  private final Map<String, NodeHeartbeat> early = new HashMap<>();
+  private long startedMillis;
   private long orderIds;
   private int supervisionTurn;
   private long lastSupervisionMillis;
@@ -113,6 +122,7 @@
 
   /** Starts the agreement. */
   public void start() {
+    startedMillis = worker.now();
     agreement.start();
   }
 
@@ -259,7 +269,7 @@
     } else if (call instanceof ServiceCall.MemberLeaves leaves) {
       services.memberLeaves(image, leaves, answer);
     } else {
-      agreement.whenLeadershipConfirmed(() -> answer.accept(newestDocument()));
+      agreement.whenLeadershipConfirmedSoon(() -> answer.accept(newestDocument()));
     }
   }
 
@@ -292,7 +302,7 @@
 
   private void onHeartbeat(String peer, NodeHeartbeat heartbeat) {
     if (!agreement.isLeader()) {
-      network.send(peer, new LeaderHint(leaderName()));
+      heartbeatOfAnother(peer, heartbeat);
       return;
     }
     boolean known = registry.state(peer).map(NodeRegistry.NodeState::isComplete).orElse(false);
@@ -302,8 +312,38 @@
     }
     admission.heard(machine.image(), heartbeat);
     registry.state(peer).ifPresent(state -> state.groupsWithNews().forEach(this::checkGroup));
-    agreement.whenLeadershipConfirmed(
-        () -> reply(peer, heartbeat.sequence(), heartbeat.version(), !complete));
+    Runnable reply = () -> reply(peer, heartbeat.sequence(), heartbeat.version(), !complete);
+    if (hasJustStarted(heartbeat)) {
+      agreement.whenLeadershipConfirmedSoon(reply);
+    } else {
+      agreement.whenLeadershipConfirmed(reply);
+    }
+  }
+
+  private static boolean hasJustStarted(NodeHeartbeat heartbeat) {
+    return heartbeat.version() == 0;
+  }
+
+  /**
+   * Answers a heartbeat without leading. After a start of all machines there is no leader yet: a
+   * node gets what is known here to be agreed, and its heartbeat is answered if this controller is
+   * elected.
+   */
+  private void heartbeatOfAnother(String peer, NodeHeartbeat heartbeat) {
+    network.send(peer, new LeaderHint(leaderName()));
+    if (early.size() < MOST_EARLY_HEARTBEATS) {
+      early.put(peer, heartbeat);
+    }
+    boolean started = worker.now() - startedMillis < STORED_IMAGE_MILLIS;
+    if (started && hasJustStarted(heartbeat) && machine.image().document().isPresent()) {
+      network.send(peer, new StoredImage(machine.image().forNodes()));
+    }
+  }
+
+  private void answerEarlyHeartbeats() {
+    Map<String, NodeHeartbeat> kept = Map.copyOf(early);
+    early.clear();
+    kept.forEach(this::onHeartbeat);
   }
 
   private void checkGroup(String group) {
@@ -399,6 +439,9 @@
     lastSupervisionMillis = worker.now();
     if (leads) {
       supervision = worker.repeat(settings.supervisionMillis(), this::supervise);
+      answerEarlyHeartbeats();
+    } else {
+      early.clear();
     }
   }
 
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -20,6 +20,7 @@
 import org.streamcourse.version.control.ControlMessage.LeaderHint;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.control.ControlMessage.StoredImage;
 import org.streamcourse.version.image.ClusterDelta;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.NodeImage;
@@ -56,10 +57,12 @@
   private volatile long lastConfirmedMillis;
   private volatile boolean everConfirmed;
   private volatile boolean leaving;
+  private Runnable storedImageListener = () -> {};
   private IntSupplier sessions = () -> 0;
   private long heldVersion;
   private long sequence;
   private int controllerIndex;
+  private long startedMillis;
   private long lastAnswerMillis;
   private boolean answered;
   private boolean reportAll = true;
@@ -107,7 +110,13 @@
 
   /** Starts the heartbeats. */
   public void start() {
-    lastAnswerMillis = worker.now();
+    startedMillis = worker.now();
+    lastAnswerMillis = startedMillis;
+    for (int i = 1; i < controllers.size(); i++) {
+      // All of them once: some may not be up yet, and any may know what is agreed.
+      heartbeat();
+      controllerIndex = (controllerIndex + 1) % controllers.size();
+    }
     firstHeartbeats();
     timer = worker.repeat(settings.heartbeatMillis(), this::heartbeat);
   }
@@ -181,6 +190,15 @@
     confirmationListeners.add(listener);
   }
 
+  /**
+   * Sets who hears that an image is in force which a controller had stored but no leader confirmed.
+   *
+   * @param listener runs on the agent's worker
+   */
+  public void onStoredImage(Runnable listener) {
+    storedImageListener = listener;
+  }
+
   /**
    * Tells whether the node is stopping.
    *
@@ -254,6 +272,8 @@
       onPush(push.delta());
     } else if (message instanceof LeaderHint hint) {
       onHint(hint);
+    } else if (message instanceof StoredImage stored) {
+      onStoredImage(stored.image());
     }
   }
 
@@ -301,6 +321,7 @@
     } else if (reply.delta() != null && reply.delta().fromVersion() == image.version()) {
       install(reply.delta());
     }
+    tellConfirmed(sent);
     lastConfirmedMillis = Math.max(lastConfirmedMillis, sent);
     everConfirmed = true;
     confirmationListeners.forEach(Runnable::run);
@@ -309,6 +330,17 @@
     }
   }
 
+  /** Tells the first confirmation, and one that comes after a long time without. */
+  private void tellConfirmed(long sent) {
+    if (!isConfirmed()) {
+      LOG.info(
+          "confirmed by the controllers, image version {}, document version {}, after {} ms",
+          image.version(),
+          image.document().version(),
+          everConfirmed ? sent - lastConfirmedMillis : worker.now() - startedMillis);
+    }
+  }
+
   private void onPush(ClusterDelta delta) {
     if (delta.fromVersion() == image.version()) {
       install(delta);
@@ -317,6 +349,21 @@
     }
   }
 
+  /** Taken only before the first confirmation, which brings the same version or a newer one. */
+  private void onStoredImage(ClusterImage stored) {
+    if (everConfirmed || stored.version() <= image.version()) {
+      return;
+    }
+    LOG.info(
+        "takes a stored image, version {}, document version {}, after {} ms",
+        stored.version(),
+        stored.document().version(),
+        worker.now() - startedMillis);
+    store.save(stored);
+    install(stored);
+    storedImageListener.run();
+  }
+
   private void onHint(LeaderHint hint) {
     if (!hint.leader().isEmpty() && !controllers.contains(hint.leader())) {
       List<String> known = new ArrayList<>(controllers);
--- a/server/src/test/java/org/streamcourse/version/agreement/RecordLogTest.java
+++ b/server/src/test/java/org/streamcourse/version/agreement/RecordLogTest.java
@@ -124,4 +124,26 @@
     assertEquals(again.lastIndex(), ENTRIES + 1);
     assertNull(again.entry(15));
   }
+
+  @Test
+  public void knowsAfterAStartWhatWasCommittedBeforeTheLastAppend() {
+    RecordLog log = RecordLog.open(disk, codec);
+    assertEquals(log.storedCommit(), 1, "nothing but the snapshot is known to be committed");
+    log.noteCommitted(10);
+    assertEquals(RecordLog.open(disk, codec).storedCommit(), 1, "not written by itself");
+    log.append(List.of(entry(log.lastIndex() + 1, 1)));
+    assertEquals(RecordLog.open(disk, codec).storedCommit(), 10);
+  }
+
+  @Test
+  public void whatIsKnownToBeCommittedNeverLiesBeyondTheLog() {
+    RecordLog log = RecordLog.open(disk, codec);
+    log.noteCommitted(ENTRIES + 1);
+    log.append(List.of(entry(log.lastIndex() + 1, 1)));
+    byte[] whole = disk.read(lastSegment());
+    disk.replace(lastSegment(), Arrays.copyOf(whole, whole.length - 1));
+    RecordLog torn = RecordLog.open(disk, codec);
+    assertEquals(torn.lastIndex(), ENTRIES + 1);
+    assertEquals(torn.storedCommit(), 1, "the torn frame told it");
+  }
 }
