--- a/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
@@ -6,6 +6,7 @@
 import org.streamcourse.request.statement.PreparedShape;
 import org.streamcourse.request.statement.Statement;
 import org.streamcourse.request.statement.StatementRequest;
+import org.streamcourse.version.image.RouteConsistency;
 import org.streamcourse.version.image.RouteRule;
 import org.streamcourse.version.image.TermPosition;
 
@@ -26,6 +27,26 @@
     Map<String, String> values,
     TermPosition lastCommit,
     String traceId) {
+  /** Part of a route's staleness limit that is used; the rest covers the way to the member. */
+  private static final double STALENESS_SHARE = 0.9;
+
+  /**
+   * Finds the place that shows everything that a read of this session must have seen.
+   *
+   * @param positions where the primary's log stood
+   * @param now present time
+   * @return place, or null when no sample is young enough
+   */
+  TermPosition floor(PrimaryPositions positions, long now) {
+    long age = Math.round(route.maxStalenessMillis() * STALENESS_SHARE);
+    TermPosition fresh = positions.floor(now, age);
+    if (fresh == null) {
+      return null;
+    }
+    boolean ownWrites = route.consistency() == RouteConsistency.SESSION;
+    return ownWrites ? fresh.max(lastCommit) : fresh;
+  }
+
   /**
    * Builds the command for the statement, preparing its shape on the link when it needs one.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -13,7 +13,6 @@
 import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.request.statement.SessionState;
 import org.streamcourse.version.image.MemberId;
-import org.streamcourse.version.image.RouteConsistency;
 import org.streamcourse.version.image.TermPosition;
 import reactor.core.Disposable;
 
@@ -50,9 +49,6 @@
   /** Part of a route's target latency that a statement may wait for a connection. */
   private static final double WAIT_SHARE = 0.5;
 
-  /** Part of a route's staleness limit that is used; the rest covers the way to the member. */
-  private static final double STALENESS_SHARE = 0.9;
-
   /** Time before the route's time-out at which the answer leaves. */
   private static final long ANSWER_MILLIS = 10;
 
@@ -137,7 +133,8 @@
       waitForChange("no member of the service is known");
       return;
     }
-    TermPosition floor = plan.needsPrimary() ? null : floor();
+    TermPosition floor =
+        plan.needsPrimary() ? null : context.floor(members.primaryPositions(), worker.now());
     if (!plan.needsPrimary() && floor == null) {
       askForFloor();
       return;
@@ -168,17 +165,6 @@
         });
   }
 
-  /** Place that shows everything the read must have seen; null when none is known. */
-  private TermPosition floor() {
-    long age = Math.round(context.route().maxStalenessMillis() * STALENESS_SHARE);
-    TermPosition fresh = members.primaryPositions().floor(worker.now(), age);
-    if (fresh == null) {
-      return null;
-    }
-    boolean ownWrites = context.route().consistency() == RouteConsistency.SESSION;
-    return ownWrites ? fresh.max(context.lastCommit()) : fresh;
-  }
-
   private void toPrimary(String cause) {
     lastCause = cause;
     plan =
@@ -274,11 +260,11 @@
     switch (plan) {
       case ANY_READ -> {
         phase = Phase.RUNNING;
-        link.run(command(floor), new SingleAnswer());
+        link.run(context.command(link, floor), new SingleAnswer());
       }
       case WRITE -> {
         phase = Phase.RUNNING;
-        link.run(command(null), new SingleAnswer());
+        link.run(context.command(link, null), new SingleAnswer());
       }
       case PRIMARY_READ, PRIMARY_TRANSACTION, ANY_TRANSACTION -> {
         phase = Phase.BEGINNING;
@@ -288,10 +274,6 @@
     }
   }
 
-  private MemberCommand command(TermPosition floor) {
-    return context.command(link, floor);
-  }
-
   /** Hears whether a transaction was begun. */
   private final class Begun implements CommandListener {
     @Override
@@ -310,7 +292,7 @@
       if (plan == StatementPlan.PRIMARY_READ) {
         phase = Phase.RUNNING;
         sentMillis = worker.now();
-        link.run(command(null), new SingleAnswer());
+        link.run(context.command(link, null), new SingleAnswer());
         return;
       }
       MemberLinks openedAt = links;
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -42,15 +42,12 @@
   private final RecordLog log;
   private final StateMachine machine;
   private final AgreementSettings settings;
-  private final RandomGenerator random;
   private final AppliedState applied;
   private final EntrySender sender;
   private final List<byte[]> proposed = new ArrayList<>();
   private RoleState role = new FollowerState();
   private long lastLeaderContact;
-  private boolean heardLeader;
-  private long startingTimeout;
-  private Disposable electionTimer = () -> {};
+  private final ElectionTimer electionTimer;
   private Disposable heartbeatTimer = () -> {};
   private boolean roundSoon;
   private boolean stopped;
@@ -77,7 +74,7 @@
     this.log = log;
     this.machine = machine;
     this.settings = settings;
-    this.random = random;
+    this.electionTimer = new ElectionTimer(worker, settings, random, this::onElectionTimeout);
     this.applied = new AppliedState(log, machine, settings.snapshotEvery());
     this.sender = new EntrySender(log, network, settings.entriesPerAppend());
   }
@@ -86,14 +83,13 @@
   public void start() {
     applied.restore();
     lastLeaderContact = worker.now() - settings.electionTimeoutMillis();
-    startingTimeout = settings.firstElectionMillis();
-    restartElectionTimer(startingTimeout);
+    electionTimer.startFirst();
   }
 
   /** Stops all timers; the node neither sends nor answers any more. */
   public void stop() {
     stopped = true;
-    electionTimer.dispose();
+    electionTimer.stop();
     heartbeatTimer.dispose();
   }
 
@@ -187,30 +183,21 @@
    * The task is dropped when the leadership ends before.
    *
    * @param task what to run
+   * @param soon whether it gets a round of its own, shared with all such tasks of one turn of the
+   *     worker, in place of the next heartbeat's
    */
-  public void whenLeadershipConfirmed(Runnable task) {
+  public void whenLeadershipConfirmed(Runnable task, boolean soon) {
     if (role instanceof LeaderState leader && leader.isAnnounced()) {
       leader.waitForNextRound(task);
       if (voters().voters().size() == 1) {
         startRound(leader);
+      } else if (soon && !roundSoon) {
+        roundSoon = true;
+        worker.execute(this::startRoundSoon);
       }
     }
   }
 
-  /**
-   * Runs a task as {@link #whenLeadershipConfirmed} does, with a round of its own in place of the
-   * next heartbeat's; all tasks of one turn of the worker share it.
-   *
-   * @param task what to run
-   */
-  public void whenLeadershipConfirmedSoon(Runnable task) {
-    whenLeadershipConfirmed(task);
-    if (!roundSoon) {
-      roundSoon = true;
-      worker.execute(this::startRoundSoon);
-    }
-  }
-
   private void startRoundSoon() {
     roundSoon = false;
     if (!stopped && role instanceof LeaderState leader) {
@@ -251,15 +238,6 @@
 
   // ---- elections ----
 
-  private void restartElectionTimer() {
-    restartElectionTimer(settings.electionTimeoutMillis());
-  }
-
-  private void restartElectionTimer(long timeout) {
-    electionTimer.dispose();
-    electionTimer = worker.schedule(timeout + random.nextLong(timeout), this::onElectionTimeout);
-  }
-
   private void onElectionTimeout() {
     if (stopped || role instanceof LeaderState) {
       return;
@@ -267,10 +245,7 @@
     if (voters().voters().contains(identity())) {
       campaign(true);
     }
-    // Nobody has led since this start: the others may just be starting too. Each try leaves more
-    // time than the one before, since votes may take long to come.
-    startingTimeout = Math.min(2 * startingTimeout, settings.electionTimeoutMillis());
-    restartElectionTimer(heardLeader ? settings.electionTimeoutMillis() : startingTimeout);
+    electionTimer.startNextTry();
   }
 
   private void campaign(boolean preVote) {
@@ -301,7 +276,7 @@
         log.isNoLaterThan(request.lastTerm(), request.lastIndex()) && mayVoteFor(request);
     if (granted && !request.preVote()) {
       log.saveQuorumState(new QuorumState(identity(), term(), request.from()));
-      restartElectionTimer();
+      electionTimer.restart();
     }
     network.send(
         request.from(),
@@ -342,8 +317,8 @@
 
   private void becomeLeader() {
     LOG.info("leads term {} as {}", term(), identity());
-    electionTimer.dispose();
-    heardLeader = true;
+    electionTimer.stop();
+    electionTimer.leaderHeard();
     LeaderState leader = new LeaderState(log.lastIndex() + 1);
     role = leader;
     appendOwn(LogEntry.Kind.NO_OP, List.of(new byte[0]));
@@ -359,7 +334,7 @@
     FollowerState follower = new FollowerState();
     follower.follow(leaderIdentity);
     role = follower;
-    restartElectionTimer();
+    electionTimer.restart();
     if (led) {
       LOG.info("no longer leads; term is {}", term());
       machine.leadershipEnded();
@@ -502,11 +477,11 @@
   }
 
   private void acceptLeader(String identity) {
-    heardLeader = true;
+    electionTimer.leaderHeard();
     lastLeaderContact = worker.now();
     if (role instanceof FollowerState follower) {
       follower.follow(identity);
-      restartElectionTimer();
+      electionTimer.restart();
     } else {
       becomeFollower(term(), identity);
     }
--- a/server/src/main/java/org/streamcourse/version/control/Controller.java
+++ b/server/src/main/java/org/streamcourse/version/control/Controller.java
@@ -21,7 +21,6 @@
 import org.streamcourse.version.control.ControlMessage.MemberOrder;
 import org.streamcourse.version.control.ControlMessage.MemberOrderResult;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
-import org.streamcourse.version.control.ControlMessage.StoredImage;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterChange.ConfigurationChange;
 import org.streamcourse.version.image.ClusterDelta;
@@ -41,12 +40,6 @@
   private static final long ANY_VERSION = -1;
 
   /** Time between two supervisions beyond which the leader itself was late. */
-  /** Time after its start in which a controller that does not lead tells nodes what it stored. */
-  private static final long STORED_IMAGE_MILLIS = 5_000;
-
-  /** Heartbeats kept for the case that this controller is elected. */
-  private static final int MOST_EARLY_HEARTBEATS = 4_096;
-
   private static final long LATE_MILLIS = 500;
 
   /** Checks of groups under change for each check of the others, which only look for silence. */
@@ -67,8 +60,7 @@
   private final GroupSupervisor.Actions actions = new SupervisorActions();
   private final ServiceSupervisor services;
   private final ImagePusher pusher;
-  private final Map<String, NodeHeartbeat> early = new HashMap<>();
-  private long startedMillis;
+  private final EarlyHeartbeats early;
   private long orderIds;
   private int supervisionTurn;
   private long lastSupervisionMillis;
@@ -103,6 +95,7 @@
     this.services =
         new ServiceSupervisor(
             actions, registry, settings, agents.promotion(), agents.probe(), worker::execute);
+    this.early = new EarlyHeartbeats(worker, network);
     this.pusher = new ImagePusher(worker, network, agreement, machine);
     machine.listen(this);
   }
@@ -122,7 +115,7 @@
 
   /** Starts the agreement. */
   public void start() {
-    startedMillis = worker.now();
+    early.started();
     agreement.start();
   }
 
@@ -230,7 +223,7 @@
   public void submit(LoggedCommand command, Consumer<CommandOutcome> answer) {
     Optional<CommandOutcome> known = machine.outcome(command.commandId());
     if (known.isPresent()) {
-      agreement.whenLeadershipConfirmed(() -> answer.accept(known.get()));
+      agreement.whenLeadershipConfirmed(() -> answer.accept(known.get()), false);
       return;
     }
     waitingCommands.put(command.commandId(), answer);
@@ -269,7 +262,7 @@
     } else if (call instanceof ServiceCall.MemberLeaves leaves) {
       services.memberLeaves(image, leaves, answer);
     } else {
-      agreement.whenLeadershipConfirmedSoon(() -> answer.accept(newestDocument()));
+      agreement.whenLeadershipConfirmed(() -> answer.accept(newestDocument()), true);
     }
   }
 
@@ -302,7 +295,8 @@
 
   private void onHeartbeat(String peer, NodeHeartbeat heartbeat) {
     if (!agreement.isLeader()) {
-      heartbeatOfAnother(peer, heartbeat);
+      network.send(peer, new LeaderHint(leaderName()));
+      early.heard(peer, heartbeat, machine.image());
       return;
     }
     boolean known = registry.state(peer).map(NodeRegistry.NodeState::isComplete).orElse(false);
@@ -312,38 +306,9 @@
     }
     admission.heard(machine.image(), heartbeat);
     registry.state(peer).ifPresent(state -> state.groupsWithNews().forEach(this::checkGroup));
-    Runnable reply = () -> reply(peer, heartbeat.sequence(), heartbeat.version(), !complete);
-    if (hasJustStarted(heartbeat)) {
-      agreement.whenLeadershipConfirmedSoon(reply);
-    } else {
-      agreement.whenLeadershipConfirmed(reply);
-    }
-  }
-
-  private static boolean hasJustStarted(NodeHeartbeat heartbeat) {
-    return heartbeat.version() == 0;
-  }
-
-  /**
-   * Answers a heartbeat without leading. After a start of all machines there is no leader yet: a
-   * node gets what is known here to be agreed, and its heartbeat is answered if this controller is
-   * elected.
-   */
-  private void heartbeatOfAnother(String peer, NodeHeartbeat heartbeat) {
-    network.send(peer, new LeaderHint(leaderName()));
-    if (early.size() < MOST_EARLY_HEARTBEATS) {
-      early.put(peer, heartbeat);
-    }
-    boolean started = worker.now() - startedMillis < STORED_IMAGE_MILLIS;
-    if (started && hasJustStarted(heartbeat) && machine.image().document().isPresent()) {
-      network.send(peer, new StoredImage(machine.image().forNodes()));
-    }
-  }
-
-  private void answerEarlyHeartbeats() {
-    Map<String, NodeHeartbeat> kept = Map.copyOf(early);
-    early.clear();
-    kept.forEach(this::onHeartbeat);
+    agreement.whenLeadershipConfirmed(
+        () -> reply(peer, heartbeat.sequence(), heartbeat.version(), !complete),
+        EarlyHeartbeats.isOfAStart(heartbeat));
   }
 
   private void checkGroup(String group) {
@@ -437,11 +402,10 @@
     pusher.restart();
     supervision.dispose();
     lastSupervisionMillis = worker.now();
+    Map<String, NodeHeartbeat> unanswered = early.take();
     if (leads) {
       supervision = worker.repeat(settings.supervisionMillis(), this::supervise);
-      answerEarlyHeartbeats();
-    } else {
-      early.clear();
+      unanswered.forEach(this::onHeartbeat);
     }
   }
 
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/version/control/EarlyHeartbeats.java
@@ -0,0 +1,61 @@
+package org.streamcourse.version.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.process.Worker;
+import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.control.ControlMessage.StoredImage;
+import org.streamcourse.version.image.ClusterImage;
+
+/**
+ * The heartbeats that a controller hears while it does not lead. After a start of all machines
+ * there is no leader yet: a node that has nothing gets what is known here to be agreed, and its
+ * heartbeat is answered if this controller is elected.
+ *
+ * <p>All methods run on the controller's worker.
+ */
+final class EarlyHeartbeats {
+  /** Time after its start in which a controller tells nodes what it stored. */
+  private static final long STORED_IMAGE_MILLIS = 5_000;
+
+  private static final int MOST_KEPT = 4_096;
+
+  private final Worker worker;
+  private final PeerNetwork network;
+  private final Map<String, NodeHeartbeat> kept = new HashMap<>();
+  private long startedMillis;
+
+  EarlyHeartbeats(Worker worker, PeerNetwork network) {
+    this.worker = worker;
+    this.network = network;
+  }
+
+  /** The controller starts. */
+  void started() {
+    startedMillis = worker.now();
+  }
+
+  /** Whether the node has no image yet. */
+  static boolean isOfAStart(NodeHeartbeat heartbeat) {
+    return heartbeat.version() == 0;
+  }
+
+  /** Keeps a heartbeat, the newest of each node. */
+  void heard(String node, NodeHeartbeat heartbeat, ClusterImage stored) {
+    if (kept.size() < MOST_KEPT) {
+      kept.put(node, heartbeat);
+    }
+    boolean justStarted = worker.now() - startedMillis < STORED_IMAGE_MILLIS;
+    if (justStarted && isOfAStart(heartbeat) && stored.document().isPresent()) {
+      network.send(node, new StoredImage(stored.forNodes()));
+    }
+  }
+
+  /** Forgets and returns the heartbeats by node. */
+  Map<String, NodeHeartbeat> take() {
+    Map<String, NodeHeartbeat> taken = Map.copyOf(kept);
+    kept.clear();
+    return taken;
+  }
+}
--- a/server/src/main/java/org/streamcourse/version/language/AdminExecutor.java
+++ b/server/src/main/java/org/streamcourse/version/language/AdminExecutor.java
@@ -38,7 +38,7 @@
     try {
       AdminStatement statement = new StatementParser(controller.image()).parse(text);
       if (statement instanceof Show show) {
-        controller.agreement().whenLeadershipConfirmed(() -> answer.accept(show(show)));
+        controller.agreement().whenLeadershipConfirmed(() -> answer.accept(show(show)), false);
       } else if (statement instanceof Change change) {
         submit(change, answer);
       } else if (statement instanceof SwitchPrimary switchPrimary) {
