--- a/server/src/main/java/org/streamcourse/process/logging/JsonLogConfigurator.java
+++ b/server/src/main/java/org/streamcourse/process/logging/JsonLogConfigurator.java
@@ -14,14 +14,16 @@
  * in code, since reading a configuration file takes a large part of the time to start.
  *
  * <p>Environment variables: {@code STREAMCOURSE_LOG_TARGET}, {@code System.err} when unset or
- * {@code System.out}; {@code STREAMCOURSE_LOG_LEVEL}, {@code INFO} when unset. A file named by the
- * system property {@code logback.configurationFile} is used in place of all this.
+ * {@code System.out}; {@code STREAMCOURSE_LOG_LEVEL}, {@code INFO} when unset; {@code
+ * STREAMCOURSE_LOG_DELAY_MILLIS}, time from the first line until lines are written, 0 when unset. A
+ * file named by the system property {@code logback.configurationFile} is used in place of all this.
  */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_TOP_PRIORITY)
 public final class JsonLogConfigurator extends ContextAwareBase implements Configurator {
   private static final String TARGET_VARIABLE = "STREAMCOURSE_LOG_TARGET";
   private static final String DEFAULT_TARGET = "System.err";
   private static final String LEVEL_VARIABLE = "STREAMCOURSE_LOG_LEVEL";
+  private static final String DELAY_VARIABLE = "STREAMCOURSE_LOG_DELAY_MILLIS";
   private static final String FILE_PROPERTY = "logback.configurationFile";
 
   @Override
@@ -29,7 +31,7 @@
     if (System.getProperty(FILE_PROPERTY) != null) {
       return ExecutionStatus.INVOKE_NEXT_IF_ANY;
     }
-    LateAppender console = new LateAppender(() -> console(context));
+    LateAppender console = new LateAppender(delayMillis(), () -> console(context));
     console.setContext(context);
     console.start();
     LogQueue queue = new LogQueue();
@@ -47,6 +49,15 @@
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
 
+  private static long delayMillis() {
+    String delay = System.getenv(DELAY_VARIABLE);
+    try {
+      return delay == null ? 0 : Math.max(0, Long.parseLong(delay));
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException(DELAY_VARIABLE + " is no number: " + delay, e);
+    }
+  }
+
   private static ConsoleAppender<ILoggingEvent> console(LoggerContext context) {
     LogstashEncoder encoder = new LogstashEncoder();
     encoder.setContext(context);
