A request waits for a link for a quarter of its target although the estimate is longer

Cause: after a start of all machines clients used up their three tries within 150 ms on refusals "all connections of this node are in use", while links became free a moment later: the estimate of the wait comes from holds of cold seconds, and most who wait ahead give up before their turn.

Change: such a request waits 0.24 of the route's target in place of none; 16 waiting requests a link of the node's share are the most, beyond that it is refused at once; waits of one statement at several members add up to half of the target at most (they did not before). Whatever is given up is still answered at that moment, with when to come back.

--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -21,9 +21,10 @@
  * accepts, and what the node sees of the member's health.
  *
  * <p>A request waits in the order of its priority. One that would wait longer than it may, judged
- * by how long links were kept lately, is refused at once. A member is unreachable when it refuses
- * connections, or when it is silent although it was asked and a new connection to it does not come
- * about; one that is only slow accepts the connection.
+ * by how long links were kept lately, waits for a shorter time; beyond a number of waiting requests
+ * the next is refused at once. A member is unreachable when it refuses connections, or when it is
+ * silent although it was asked and a new connection to it does not come about; one that is only
+ * slow accepts the connection.
  *
  * <p>All methods run on the proxy's worker.
  */
@@ -48,6 +49,15 @@
   /** Pause after the member accepted no more connections. */
   private static final long FULL_PAUSE_MILLIS = 500;
 
+  /**
+   * Part of its longest wait that a request waits although it is not expected to get a link in that
+   * time: many requests that wait longer give up, so the estimate is often too high.
+   */
+  private static final double CROWDED_WAIT_SHARE = 0.48;
+
+  /** Requests that may wait for each link of this node's share. */
+  private static final int MOST_WAITING_A_LINK = 16;
+
   /** Weight of the newest value in a moving average. */
   private static final double NEWEST = 0.1;
 
@@ -227,14 +237,16 @@
     long estimate = estimatedWaitMillis();
     boolean canOpen = links.size() < share && worker.now() >= noDialBeforeMillis;
     boolean hasNone = links.isEmpty() && !canOpen;
-    if (estimate > request.maxWaitMillis() || hasNone) {
+    if (hasNone || waiting.size() >= MOST_WAITING_A_LINK * share) {
       request.refused("all connections of this node are in use", Math.max(estimate, 1));
       return;
     }
+    long longest = request.maxWaitMillis();
+    long wait = estimate > longest ? Math.round(CROWDED_WAIT_SHARE * longest) : longest;
     numbers++;
     Waiter waiter = new Waiter(request, worker.now(), numbers);
     waiting.add(waiter);
-    worker.schedule(request.maxWaitMillis(), () -> expire(waiter));
+    worker.schedule(wait, () -> expire(waiter));
     dialForWaiting();
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -46,7 +46,7 @@
   /** Pause before the primary is asked again after it refused. */
   private static final long PRIMARY_PAUSE_MILLIS = 40;
 
-  /** Part of a route's target latency that a statement may wait for a connection. */
+  /** Part of a route's target latency that a statement may wait for connections in all. */
   private static final double WAIT_SHARE = 0.5;
 
   /** Time before the route's time-out at which the answer leaves. */
@@ -213,7 +213,8 @@
     @Override
     public long maxWaitMillis() {
       long wanted = Math.round(context.route().targetLatencyMillis() * WAIT_SHARE);
-      return Math.max(1, Math.min(wanted, deadlineMillis - worker.now()));
+      long limit = Math.min(startedMillis + wanted, deadlineMillis);
+      return Math.max(1, limit - worker.now());
     }
 
     @Override
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -1,5 +1,6 @@
 package org.streamcourse.request.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -7,6 +8,8 @@
 import org.streamcourse.connection.member.MemberChannel;
 import org.streamcourse.connection.member.MemberCommand;
 import org.streamcourse.connection.member.MemberDialer;
+import org.streamcourse.connection.member.MemberLink;
+import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.process.LineBudget;
 import org.streamcourse.process.SchedulerWorker;
 import org.streamcourse.process.Worker;
@@ -36,13 +39,13 @@
   static final String PRIMARY = "i-1";
   static final String FIRST_REPLICA = "i-2";
   static final String SECOND_REPLICA = "i-3";
-  static final long WORK_MILLIS = 20;
+  static final long FIRST_WORK_MILLIS = 20;
   static final int CONNECTIONS = 11;
   static final TermPosition PRIMARY_POSITION = new TermPosition(1, 100);
 
   private static final String SERVICE = "s";
   private static final long TIMEOUT_MILLIS = 800;
-  private static final long TARGET_MILLIS = 1_000;
+  static final long TARGET_MILLIS = 1_000;
   private static final long STALENESS_MILLIS = 2_500;
 
   final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
@@ -50,6 +53,7 @@
   final MemberTable table = new MemberTable(worker, this, "z");
   final Map<String, List<MemberCommand>> commands = new TreeMap<>();
   final List<Answer> answers = new ArrayList<>();
+  long workMillis = FIRST_WORK_MILLIS;
   private final Map<Integer, String> ports =
       Map.of(1, PRIMARY, 2, FIRST_REPLICA, 3, SECOND_REPLICA);
   private final RequestLog log = new RequestLog(new LineBudget(0, worker::now), 0);
@@ -82,7 +86,7 @@
   }
 
   void pass(long millis) {
-    clock.advanceTimeBy(java.time.Duration.ofMillis(millis));
+    clock.advanceTimeBy(Duration.ofMillis(millis));
   }
 
   /** Starts a read of a session that has not committed anything. */
@@ -111,9 +115,7 @@
           }
 
           @Override
-          public void transactionOpened(
-              org.streamcourse.connection.member.MemberLinks links,
-              org.streamcourse.connection.member.MemberLink link) {
+          public void transactionOpened(MemberLinks links, MemberLink link) {
             throw new AssertionError("no transaction was asked for");
           }
         };
@@ -149,7 +151,7 @@
     @Override
     public void send(MemberCommand command) {
       commands.computeIfAbsent(member, any -> new ArrayList<>()).add(command);
-      long work = command instanceof MemberCommand.Run ? WORK_MILLIS : 1;
+      long work = command instanceof MemberCommand.Run ? workMillis : 1;
       busyUntil = Math.max(worker.now(), busyUntil) + work;
       worker.schedule(busyUntil - worker.now(), () -> answer(command));
     }
