--- a/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
+++ b/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.HttpServer;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -10,6 +11,9 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.streamcourse.process.settings.HostPort;
 
@@ -17,6 +21,11 @@
 public final class MetricsEndpoint {
   private static final int HTTP_OK = 200;
 
+  /** Bounds of the histograms' buckets. */
+  private static final Duration SHORTEST = Duration.ofMillis(1);
+
+  private static final Duration LONGEST = Duration.ofSeconds(10);
+
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private HttpServer server;
@@ -38,6 +47,27 @@
     Gauge.builder(name, value).description(help).register(registry);
   }
 
+  /**
+   * Adds a histogram of times.
+   *
+   * @param name metric's name, without its unit
+   * @param help what it tells
+   * @param tag name of a label
+   * @param value the label's value
+   * @return takes times in milliseconds
+   */
+  public LongConsumer histogram(String name, String help, String tag, String value) {
+    Timer timer =
+        Timer.builder(name)
+            .description(help)
+            .tag(tag, value)
+            .publishPercentileHistogram()
+            .minimumExpectedValue(SHORTEST)
+            .maximumExpectedValue(LONGEST)
+            .register(registry);
+    return millis -> timer.record(millis, TimeUnit.MILLISECONDS);
+  }
+
   /**
    * Starts to serve.
    *
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -11,6 +11,7 @@
 import org.streamcourse.connection.member.TcpMemberDialer;
 import org.streamcourse.connection.member.TcpMemberProbe;
 import org.streamcourse.connection.peer.TcpPeerNetwork;
+import org.streamcourse.process.logging.LogQueue;
 import org.streamcourse.process.settings.ServiceControllerSettings;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.version.agreement.AgreementSettings;
@@ -92,6 +93,7 @@
         () -> node.controller().agreement().commitIndex());
     endpoint.gauge(
         "streamcourse_image_version", "Agreed version.", () -> node.controller().image().version());
+    endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
     return endpoint;
   }
 
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -0,0 +1,56 @@
+package org.streamcourse.process;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.LongConsumer;
+import org.streamcourse.process.logging.LogQueue;
+import org.streamcourse.request.routing.RequestLog;
+import org.streamcourse.request.routing.StatementObserver;
+import org.streamcourse.request.statement.AnswerCode;
+
+/** Counters and latency histograms of a statement proxy. */
+final class StatementMetrics implements StatementObserver {
+  private static final String OUTCOME = "outcome";
+
+  private final Map<AnswerCode, LongConsumer> answered = new EnumMap<>(AnswerCode.class);
+  private final LongConsumer waited;
+  private final LongConsumer member;
+
+  StatementMetrics(MetricsEndpoint endpoint, StatementProxyNode node, RequestLog log) {
+    endpoint.gauge("streamcourse_sessions", "Open sessions of callers.", node::openSessions);
+    endpoint.gauge("streamcourse_image_version", "Version in force.", () -> node.image().version());
+    endpoint.gauge("streamcourse_reroutes", "Times another member was tried.", log::reroutes);
+    endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
+    for (AnswerCode code : AnswerCode.values()) {
+      String outcome = code.name().toLowerCase(Locale.ROOT);
+      endpoint.gauge(
+          "streamcourse_answers_" + outcome, "Statements answered so.", () -> log.count(code));
+      answered.put(
+          code,
+          endpoint.histogram(
+              "streamcourse_statement", "From a statement to its answer.", OUTCOME, outcome));
+    }
+    waited =
+        endpoint.histogram(
+            "streamcourse_link_wait", "From a statement to a link to a member.", OUTCOME, "got");
+    member =
+        endpoint.histogram(
+            "streamcourse_member", "From sending to a member's answer.", OUTCOME, "answered");
+  }
+
+  @Override
+  public void answered(AnswerCode code, long tookMillis) {
+    answered.get(code).accept(tookMillis);
+  }
+
+  @Override
+  public void waitedForLink(long waitedMillis) {
+    waited.accept(waitedMillis);
+  }
+
+  @Override
+  public void memberAnswered(long tookMillis) {
+    member.accept(tookMillis);
+  }
+}
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -13,7 +13,6 @@
 import org.streamcourse.process.settings.StatementProxySettings;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.request.routing.RequestLog;
-import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.version.image.NodeImage;
 import org.streamcourse.version.image.Place;
 
@@ -92,15 +91,7 @@
 
   private MetricsEndpoint metrics(RequestLog log) {
     MetricsEndpoint endpoint = new MetricsEndpoint();
-    endpoint.gauge("streamcourse_sessions", "Open sessions of callers.", node::openSessions);
-    endpoint.gauge("streamcourse_image_version", "Version in force.", () -> node.image().version());
-    endpoint.gauge("streamcourse_reroutes", "Times another member was tried.", log::reroutes);
-    for (AnswerCode code : AnswerCode.values()) {
-      endpoint.gauge(
-          "streamcourse_answers_" + code.name().toLowerCase(java.util.Locale.ROOT),
-          "Statements answered so.",
-          () -> log.count(code));
-    }
+    log.observe(new StatementMetrics(endpoint, node, log));
     return endpoint;
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
@@ -24,6 +24,7 @@
   private final LineBudget budget;
   private final int sampleEvery;
   private final Map<AnswerCode, Long> outcomes = new EnumMap<>(AnswerCode.class);
+  private StatementObserver observer = StatementObserver.NONE;
   private long reroutes;
 
   /**
@@ -37,6 +38,20 @@
     this.sampleEvery = sampleEvery;
   }
 
+  /**
+   * Sets who hears how long statements take.
+   *
+   * @param next hears it on the proxy's worker
+   */
+  public void observe(StatementObserver next) {
+    observer = next;
+  }
+
+  /** Returns who hears how long the stages of statements take. */
+  StatementObserver observer() {
+    return observer;
+  }
+
   /**
    * A statement got its final answer.
    *
@@ -46,6 +61,7 @@
    */
   public void answered(StatementContext context, Answer answer, long tookMillis) {
     outcomes.merge(answer.code(), 1L, Long::sum);
+    observer.answered(answer.code(), tookMillis);
     boolean sampled =
         sampleEvery > 0 && Math.floorMod(context.request().id().hashCode(), sampleEvery) == 0;
     if ((!answer.isComplete() || sampled) && budget.take()) {
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -258,6 +258,7 @@
   private void use(TermPosition floor) {
     link.adopt(context.values());
     sentMillis = worker.now();
+    log.observer().waitedForLink(sentMillis - startedMillis);
     switch (plan) {
       case ANY_READ -> {
         phase = Phase.RUNNING;
@@ -320,6 +321,7 @@
         return;
       }
       long latency = worker.now() - sentMillis;
+      log.observer().memberAnswered(latency);
       members.answered(links.member().id(), latency, answer.position());
       if (answer.isComplete()) {
         if (plan == StatementPlan.WRITE) {
@@ -452,8 +454,6 @@
     }
   }
 
-  // ---- end ----
-
   private void refuse(AnswerCode code, String cause, long retryAfterMillis) {
     String text = retryAfterMillis > 0 ? cause + "; retry-after-ms=" + retryAfterMillis : cause;
     log.refused(context, code, cause, plan, worker.now() - startedMillis);
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/process/MetricsEndpointTest.java
@@ -0,0 +1,46 @@
+package org.streamcourse.process;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.function.LongConsumer;
+import org.streamcourse.process.settings.HostPort;
+import org.testng.annotations.Test;
+
+/** Gauges and latency histograms are served as text. */
+public class MetricsEndpointTest {
+  private static HostPort freeAddress() throws IOException {
+    InetAddress loopback = InetAddress.getLoopbackAddress();
+    try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+      return new HostPort(loopback.getHostAddress(), socket.getLocalPort());
+    }
+  }
+
+  @Test
+  public void histogramsAreServedByOutcome() throws IOException, InterruptedException {
+    MetricsEndpoint endpoint = new MetricsEndpoint();
+    endpoint.gauge("streamcourse_sessions", "Sessions.", () -> 7);
+    LongConsumer busy = endpoint.histogram("streamcourse_statement", "Times.", "outcome", "busy");
+    busy.accept(40);
+    busy.accept(400);
+    HostPort address = freeAddress();
+    endpoint.start(address);
+    try {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + address + "/metrics")).build();
+      String text =
+          HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+      assertTrue(text.contains("streamcourse_sessions 7.0"), text);
+      assertTrue(text.contains("streamcourse_statement_seconds_count{outcome=\"busy\"} 2"), text);
+      assertTrue(text.contains("streamcourse_statement_seconds_bucket{outcome=\"busy\",le="), text);
+    } finally {
+      endpoint.stop();
+    }
+  }
+}
