--- a/server/src/test/java/org/streamcourse/process/StoredImageTest.java
+++ b/server/src/test/java/org/streamcourse/process/StoredImageTest.java
@@ -1,7 +1,6 @@
 package org.streamcourse.process;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -63,12 +62,7 @@
     return new NodeHeartbeat(self, 1, version, 0, false, 0, true, List.of());
   }
 
-  private <T> List<T> sent(Class<T> kind) {
-    return sent.stream().filter(kind::isInstance).map(kind::cast).toList();
-  }
-
-  @Test
-  public void aNodeGetsWhatIsStoredAndThenWhatIsConfirmed() {
+  private ControllerNode restartAfterTwoChanges() {
     ControllerNode first = start();
     pass(2_000);
     replace(first, 1);
@@ -76,8 +70,16 @@
     first.stop();
     pass(10);
     sent.clear();
+    return start();
+  }
+
+  private <T> List<T> sent(Class<T> kind) {
+    return sent.stream().filter(kind::isInstance).map(kind::cast).toList();
+  }
 
-    ControllerNode restarted = start();
+  @Test
+  public void aNodeGetsWhatIsStoredAndThenWhatIsConfirmed() {
+    ControllerNode restarted = restartAfterTwoChanges();
     restarted.receive(NODE, heartbeat(0));
     pass(1);
     assertEquals(sent(StoredImage.class).size(), 1);
@@ -87,19 +89,12 @@
     pass(2_000);
     HeartbeatReply reply = sent(HeartbeatReply.class).get(0);
     assertEquals(reply.sequence(), 1, "the heartbeat of before the election is answered");
-    assertTrue(restarted.controller().image().document().version() == 2);
+    assertEquals(restarted.controller().image().document().version(), 2);
   }
 
   @Test
   public void aNodeThatHasAnImageGetsNoStoredOne() {
-    ControllerNode first = start();
-    pass(2_000);
-    replace(first, 1);
-    replace(first, 2);
-    first.stop();
-    pass(10);
-    sent.clear();
-    ControllerNode restarted = start();
+    ControllerNode restarted = restartAfterTwoChanges();
     restarted.receive(NODE, heartbeat(1));
     pass(1);
     assertEquals(sent(StoredImage.class), List.of());
