A wait for a primary no longer shortens the wait for a link to it

Load is ruled out: the test runs on a virtual clock.

Change: only the waits for links count. Test: LinkQueueTest.aWaitForAPrimaryDoesNotShortenTheWaitForALink, seen failing on the line before.

--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -69,6 +69,7 @@
   private ServiceMembers members;
   private MemberLinks links;
   private MemberLink link;
+  private long linkWaitMillis;
   private long sentMillis;
   private int attempts;
   private int busyAnswers;
@@ -120,8 +121,6 @@
     }
   }
 
-  // ---- choice ----
-
   private void attempt() {
     if (phase == Phase.DONE) {
       return;
@@ -194,6 +193,7 @@
   private final class Wish implements LinkRequest {
     private final int ofTurn;
     private final TermPosition floor;
+    private final long sinceMillis = worker.now();
 
     Wish(int ofTurn, TermPosition floor) {
       this.ofTurn = ofTurn;
@@ -213,8 +213,7 @@
     @Override
     public long maxWaitMillis() {
       long wanted = Math.round(context.route().targetLatencyMillis() * WAIT_SHARE);
-      long limit = Math.min(startedMillis + wanted, deadlineMillis);
-      return Math.max(1, limit - worker.now());
+      return Math.max(1, Math.min(wanted - linkWaitMillis, deadlineMillis - worker.now()));
     }
 
     @Override
@@ -235,6 +234,7 @@
     @Override
     public void refused(String cause, long retryAfterMillis) {
       if (phase == Phase.WAITING && turn == ofTurn) {
+        linkWaitMillis += worker.now() - sinceMillis;
         noLink(cause, retryAfterMillis);
       }
     }
--- a/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
@@ -63,4 +63,16 @@
     assertTrue(service.answers.size() >= 5, service.answers.size() + " are refused");
     assertTrue(service.answers.stream().allMatch(each -> each.code() == AnswerCode.BUSY));
   }
+
+  @Test
+  public void aWaitForAPrimaryDoesNotShortenTheWaitForALink() {
+    ScriptedService service = new ScriptedService();
+    service.loseThePrimary();
+    service.write("w");
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 100);
+    assertEquals(service.answers.size(), 0, "it waits for a primary");
+    service.agreeOnThePrimary();
+    service.pass(100);
+    assertEquals(service.completed(), 1);
+  }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -59,11 +59,21 @@
   private final RequestLog log = new RequestLog(new LineBudget(0, worker::now), 0);
 
   ScriptedService() {
-    table.update(image());
+    agreeOnThePrimary();
     pass(50);
   }
 
-  private static ClusterImage image() {
+  /** All members are gone. */
+  void loseThePrimary() {
+    table.update(withoutMembers());
+  }
+
+  /** The members register anew; their links must be opened. */
+  void agreeOnThePrimary() {
+    table.update(image());
+  }
+
+  private static ClusterImage withoutMembers() {
     RoutingDocument document =
         new RoutingDocument(
             1,
@@ -71,7 +81,11 @@
             List.of(new ServiceRules(SERVICE, CONNECTIONS, 0)),
             SessionLimits.DEFAULT,
             "");
-    ClusterImage image = ClusterImage.EMPTY.apply(new ClusterChange.DocumentReplaced(document));
+    return ClusterImage.EMPTY.apply(new ClusterChange.DocumentReplaced(document));
+  }
+
+  private static ClusterImage image() {
+    ClusterImage image = withoutMembers();
     for (int port = 1; port <= 3; port++) {
       RegisteredMember member =
           new RegisteredMember(new MemberId("i-" + port), "10.0.0.1", port, "z", 3, false);
