--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -46,7 +46,7 @@
   /** Pause before the primary is asked again after it refused. */
   private static final long PRIMARY_PAUSE_MILLIS = 40;
 
-  /** Part of a route's target latency that a statement may wait for connections in all. */
+  /** Part of a route's target latency that a statement may wait for one connection. */
   private static final double WAIT_SHARE = 0.5;
 
   /** Time before the route's time-out at which the answer leaves. */
@@ -69,7 +69,6 @@
   private ServiceMembers members;
   private MemberLinks links;
   private MemberLink link;
-  private long linkWaitMillis;
   private long sentMillis;
   private int attempts;
   private int busyAnswers;
@@ -193,7 +192,6 @@
   private final class Wish implements LinkRequest {
     private final int ofTurn;
     private final TermPosition floor;
-    private final long sinceMillis = worker.now();
 
     Wish(int ofTurn, TermPosition floor) {
       this.ofTurn = ofTurn;
@@ -213,7 +211,7 @@
     @Override
     public long maxWaitMillis() {
       long wanted = Math.round(context.route().targetLatencyMillis() * WAIT_SHARE);
-      return Math.max(1, Math.min(wanted - linkWaitMillis, deadlineMillis - worker.now()));
+      return Math.max(1, Math.min(wanted, deadlineMillis - worker.now()));
     }
 
     @Override
@@ -234,7 +232,6 @@
     @Override
     public void refused(String cause, long retryAfterMillis) {
       if (phase == Phase.WAITING && turn == ofTurn) {
-        linkWaitMillis += worker.now() - sinceMillis;
         noLink(cause, retryAfterMillis);
       }
     }
