--- a/server/src/main/java/org/streamcourse/version/control/EarlyHeartbeats.java
+++ b/server/src/main/java/org/streamcourse/version/control/EarlyHeartbeats.java
@@ -1,7 +1,7 @@
 package org.streamcourse.version.control;
 
-import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import org.streamcourse.connection.peer.PeerNetwork;
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
@@ -23,7 +23,10 @@
 
   private final Worker worker;
   private final PeerNetwork network;
-  private final Map<String, NodeHeartbeat> kept = new HashMap<>();
+
+  /** In the order of names, so that a simulated history repeats. */
+  private final Map<String, NodeHeartbeat> kept = new TreeMap<>();
+
   private long startedMillis;
 
   EarlyHeartbeats(Worker worker, PeerNetwork network) {
@@ -54,7 +57,7 @@
 
   /** Forgets and returns the heartbeats by node. */
   Map<String, NodeHeartbeat> take() {
-    Map<String, NodeHeartbeat> taken = Map.copyOf(kept);
+    Map<String, NodeHeartbeat> taken = new TreeMap<>(kept);
     kept.clear();
     return taken;
   }
