--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceChecks.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceChecks.java
@@ -38,6 +38,7 @@
   private final Map<String, Long> drainedAt = new HashMap<>();
   private final Map<AnswerCode, Long> outcomes = new HashMap<>();
   private long longestWriteGapMillis;
+  private long refusedConnections;
   private long highestAcknowledgedDocument = -1;
   private long acknowledgedDocumentAt;
 
@@ -103,6 +104,15 @@
 
   // ---- members ----
 
+  /** A member refuses a connection that is over its limit. */
+  void connectionRefused() {
+    refusedConnections++;
+  }
+
+  long refusedConnections() {
+    return refusedConnections;
+  }
+
   /** A member runs a read that its caller sent at a time. */
   void read(
       String member,
--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
@@ -36,12 +36,10 @@
  * changed by an outside agent, with its callers and operator, on a virtual clock.
  */
 public class ServiceWorld {
-  static final int MAX_CONNECTIONS = 36;
   static final long STALENESS_MILLIS = 1_500;
 
   static final String SERVICE = "service";
   private static final int REGIONS = 3;
-  private static final int PROXIES = 4;
   private static final int CALLERS_PER_ROUTE = 3;
   private static final long CALLER_MICROS = 3_000;
   private static final double LOST_ANSWER_SHARE = 0.03;
@@ -57,6 +55,31 @@
   private static final SimNetwork.Conditions CONDITIONS =
       new SimNetwork.Conditions(1_500, 20_000, 0.02, 0.02);
 
+  /**
+   * How large a fleet is, and what its members accept.
+   *
+   * @param proxies statement proxies
+   * @param maxConnections connections that each member accepts
+   * @param synchronousReplicas replicas that have received a commit before it is acknowledged
+   */
+  public record Size(int proxies, int maxConnections, int synchronousReplicas) {
+    /** Each proxy holds connections of its own to each member. */
+    public static final Size DEFAULT = new Size(4, 36, 0);
+
+    /** More proxies than connections, so that most proxies ask others. */
+    public static final Size FEW_CONNECTIONS = new Size(12, 11, 0);
+
+    /**
+     * Changes the number of synchronous replicas.
+     *
+     * @param count replicas that have received a commit before it is acknowledged
+     * @return changed size
+     */
+    public Size withSynchronousReplicas(int count) {
+      return new Size(proxies, maxConnections, count);
+    }
+  }
+
   /** What is known of a statement that a caller sent. */
   record Sent(
       RouteConsistency consistency,
@@ -83,7 +106,7 @@
   private final Map<String, Sent> statements = new HashMap<>();
   private final Map<String, LogEntry> committed = new HashMap<>();
   private final Map<String, Long> confirmedSince = new HashMap<>();
-  private final int synchronousReplicas;
+  private final Size size;
   private long sessions;
   private boolean lostAnswers;
 
@@ -93,23 +116,23 @@
    * @param seed decides everything that is left to chance
    */
   public ServiceWorld(long seed) {
-    this(seed, 0);
+    this(seed, Size.DEFAULT);
   }
 
   /**
    * Builds a fleet that does not run yet.
    *
    * @param seed decides everything that is left to chance
-   * @param synchronousReplicas replicas that have received a commit before it is acknowledged
+   * @param size how large the fleet is
    */
-  public ServiceWorld(long seed, int synchronousReplicas) {
-    this.synchronousReplicas = synchronousReplicas;
+  public ServiceWorld(long seed, Size size) {
+    this.size = size;
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     network = new SimNetwork(scheduler, random, World.CODEC, CONDITIONS, faults, new SimParts());
     for (int i = 0; i < World.CONTROLLERS.size(); i++) {
       newHost(World.CONTROLLERS.get(i), i);
     }
-    for (int i = 0; i < PROXIES; i++) {
+    for (int i = 0; i < size.proxies(); i++) {
       String name = "p" + (i + 1);
       proxies.put(name, new SimServiceProxy(this, newHost(name, i % REGIONS)));
     }
@@ -442,11 +465,11 @@
   }
 
   boolean isSynchronous() {
-    return synchronousReplicas > 0;
+    return size.synchronousReplicas() > 0;
   }
 
-  int synchronousReplicas() {
-    return synchronousReplicas;
+  Size size() {
+    return size;
   }
 
   SimServiceGroup group() {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimOperator.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimOperator.java
@@ -52,7 +52,9 @@
         routes,
         List.of(
             new ServiceRules(
-                ServiceWorld.SERVICE, ServiceWorld.MAX_CONNECTIONS, world.synchronousReplicas())),
+                ServiceWorld.SERVICE,
+                world.size().maxConnections(),
+                world.size().synchronousReplicas())),
         new SessionLimits(3_000),
         "source of " + version);
   }
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceConnection.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceConnection.java
@@ -160,7 +160,8 @@
   private void introduce(MemberCommand.Introduce introduce) {
     if (!introduce.member().equals(member.id())) {
       reply(AnswerCode.WRONG_MEMBER, member.id().value());
-    } else if (member.connectionCount() >= ServiceWorld.MAX_CONNECTIONS) {
+    } else if (member.connectionCount() >= world.size().maxConnections()) {
+      world.checks().connectionRefused();
       reply(AnswerCode.TOO_MANY_CONNECTIONS, "no room");
     } else {
       member.opened(this);
--- /dev/null
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/RelayScenarioTest.java
@@ -0,0 +1,67 @@
+package org.streamcourse.lab.simulation;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.streamcourse.request.statement.AnswerCode;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Fleets of more proxies than a member accepts connections serve, and hold every promise. */
+public class RelayScenarioTest {
+  private static final long SEEDS = 16;
+
+  /** As many proxies and connections as the larger deployments have. */
+  private static final ServiceWorld.Size SEVENTY_PROXIES = new ServiceWorld.Size(70, 53, 0);
+
+  @DataProvider
+  public Object[][] scenarios() {
+    return Arrays.stream(ServiceScenario.values())
+        .map(each -> new Object[] {each})
+        .toArray(Object[][]::new);
+  }
+
+  private static ServiceWorld run(long seed, ServiceWorld.Size size, ServiceScenario scenario) {
+    ServiceWorld world = new ServiceWorld(seed, size);
+    world.run(scenario::start);
+    return world;
+  }
+
+  @Test(dataProvider = "scenarios")
+  public void holdsEveryInvariant(ServiceScenario scenario) {
+    List<ServiceWorld> worlds =
+        LongStream.rangeClosed(1, SEEDS)
+            .parallel()
+            .mapToObj(seed -> run(seed, ServiceWorld.Size.FEW_CONNECTIONS, scenario))
+            .toList();
+    for (int i = 0; i < worlds.size(); i++) {
+      ServiceChecks checks = worlds.get(i).checks();
+      assertEquals(
+          checks.violations(),
+          List.of(),
+          scenario.label() + " seed " + (i + 1) + ": " + checks.lastEvents());
+    }
+  }
+
+  @DataProvider
+  public Object[][] sizes() {
+    return new Object[][] {{ServiceWorld.Size.FEW_CONNECTIONS}, {SEVENTY_PROXIES}};
+  }
+
+  @Test(dataProvider = "sizes")
+  public void calmRunServesEverythingWithinTheMembersLimits(ServiceWorld.Size size) {
+    for (long seed = 1; seed <= 4; seed++) {
+      ServiceWorld world = new ServiceWorld(seed, size);
+      world.run(any -> {});
+      assertEquals(world.checks().violations(), List.of());
+      assertEquals(world.checks().refusedConnections(), 0, "connections over the limit");
+      for (AnswerCode code : AnswerCode.values()) {
+        long count = world.checks().count(code);
+        assertTrue(code == AnswerCode.COMPLETE ? count > 500 : count == 0, code + " " + count);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
@@ -0,0 +1,71 @@
+package org.streamcourse.connection.member;
+
+import java.util.function.Consumer;
+import org.streamcourse.request.statement.Answer;
+
+/**
+ * A read within a transaction that only a primary begins, so that a replaced primary can't answer
+ * it. The rollback leaves together with the read, since it is right whatever becomes of the read.
+ */
+final class GuardedRead {
+  private final MemberLink link;
+  private final MemberCommand read;
+  private final CommandListener listener;
+  private boolean told;
+
+  /**
+   * Creates a read of which nothing is sent yet.
+   *
+   * @param link link on which it runs
+   * @param read the read
+   * @param listener hears one end: the answer to the read, or to the beginning when that failed
+   */
+  GuardedRead(MemberLink link, MemberCommand read, CommandListener listener) {
+    this.link = link;
+    this.read = read;
+    this.listener = listener;
+  }
+
+  void begin() {
+    link.send(new MemberCommand.BeginTransaction(false, null), telling(this::begun));
+  }
+
+  private void begun(Answer answer) {
+    if (!answer.isComplete()) {
+      tell(answer);
+    } else if (!link.isRelayed()) {
+      sendRead();
+      link.flush();
+    }
+  }
+
+  /** Sends the read; through another node it is sent at once, and run there only once begun. */
+  void sendRead() {
+    link.send(read, telling(this::tell));
+    link.rollBackNext();
+  }
+
+  private void tell(Answer answer) {
+    if (!told) {
+      told = true;
+      listener.answered(answer);
+    }
+  }
+
+  private CommandListener telling(Consumer<Answer> next) {
+    return new CommandListener() {
+      @Override
+      public void answered(Answer answer) {
+        next.accept(answer);
+      }
+
+      @Override
+      public void lost(String cause) {
+        if (!told) {
+          told = true;
+          listener.lost(cause);
+        }
+      }
+    };
+  }
+}
--- a/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
@@ -41,7 +41,9 @@
   void granted(MemberLink link);
 
   /**
-   * No link is given; nothing was sent.
+   * No link is given; the member was asked nothing. A link that leads through another node is
+   * granted at once, and may be refused until the first answer has come over it; it must be given
+   * back then.
    *
    * @param cause why
    * @param retryAfterMillis when there may be one
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -49,7 +49,10 @@
   private MemberChannel channel;
   private SessionState state = SessionState.IDLE;
   private boolean open;
+  private boolean relayed;
   private boolean ended;
+  private boolean rollingBack;
+  private Runnable rolledBack = () -> {};
 
   MemberLink(Worker worker, String service, MemberId member, Owner owner) {
     this.worker = worker;
@@ -85,6 +88,23 @@
     return open && !ended;
   }
 
+  /**
+   * Tells whether the member is reached through another node; such a link serves one statement or
+   * transaction.
+   *
+   * @return false for a connection of this node
+   */
+  boolean isRelayed() {
+    return relayed;
+  }
+
+  /** Uses a way through another node, which is open at once. */
+  void openThrough(MemberChannel relay) {
+    relayed = true;
+    channel = relay;
+    open = true;
+  }
+
   boolean hasValues(Map<String, String> wanted) {
     return values.equals(wanted);
   }
@@ -152,7 +172,70 @@
     channel.flush();
   }
 
-  private void send(MemberCommand command, CommandListener listener) {
+  /**
+   * Runs a read in a transaction that only a primary begins, and that is rolled back right after
+   * it. Through another node all of it is one message each way.
+   *
+   * @param read what to send within the transaction
+   * @param listener hears the answer to the read, or to the beginning when that failed
+   */
+  public void runGuarded(MemberCommand read, CommandListener listener) {
+    if (!isOpen()) {
+      listener.lost("the connection has ended");
+      return;
+    }
+    GuardedRead guarded = new GuardedRead(this, read, listener);
+    guarded.begin();
+    if (relayed) {
+      guarded.sendRead();
+    }
+    channel.flush();
+  }
+
+  /** Sends a rollback behind what was sent so far. */
+  void rollBackNext() {
+    rollingBack = true;
+    send(
+        new MemberCommand.RollBack(),
+        new CommandListener() {
+          @Override
+          public void answered(Answer answer) {
+            endRollBack();
+          }
+
+          @Override
+          public void lost(String cause) {
+            endRollBack();
+          }
+        });
+  }
+
+  /**
+   * Tells whether a rollback is under way that was sent together with a statement.
+   *
+   * @return false once it has been answered
+   */
+  boolean isRollingBack() {
+    return rollingBack;
+  }
+
+  /** Sets what runs when the rollback under way has been answered, or the link has ended. */
+  void onRolledBack(Runnable task) {
+    rolledBack = task;
+  }
+
+  private void endRollBack() {
+    rollingBack = false;
+    Runnable next = rolledBack;
+    rolledBack = () -> {};
+    next.run();
+  }
+
+  void flush() {
+    channel.flush();
+  }
+
+  void send(MemberCommand command, CommandListener listener) {
     outstanding.addLast(new Outstanding(listener, worker.now()));
     if (channel != null) {
       channel.send(command);
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,8 +64,6 @@
   private static final int NOT_CONNECTED = -1;
   private static final int NOT_LEAVING = -1;
 
-  private record Waiter(LinkRequest request, long sinceMillis, long number) {}
-
   private final Worker worker;
   private final MemberDialer dialer;
   private final String service;
@@ -75,25 +72,24 @@
   private final Map<MemberLink, Long> dialing = new HashMap<>();
   private final Map<MemberLink, Long> inUse = new HashMap<>();
   private final Deque<MemberLink> idle = new ArrayDeque<>();
-  private final PriorityQueue<Waiter> waiting =
-      new PriorityQueue<>(
-          java.util.Comparator.comparingInt((Waiter each) -> each.request().priority())
-              .thenComparingLong(Waiter::number));
+  private final LinkQueue waiting;
+  private final MemberRelay relay;
   private RegisteredMember member;
-  private int share;
+  private LinkShare share = LinkShare.ofEveryNode(0);
+  private long noRelayBeforeMillis;
   private boolean unreachable;
   private boolean retired;
   private long leavingSinceMillis = NOT_LEAVING;
   private long lastHeardMillis = NOT_CONNECTED;
   private long noDialBeforeMillis;
   private double holdMillis = FIRST_HOLD_MILLIS;
-  private long numbers;
 
   /**
    * Creates the links of a member; none is opened yet.
    *
    * @param worker the proxy's worker
    * @param dialer opens connections
+   * @param relay way to the member where this node may have no links
    * @param service service of the member
    * @param member the member
    * @param onHealthChange runs when the member becomes unreachable or reachable again
@@ -101,14 +97,17 @@
   public MemberLinks(
       Worker worker,
       MemberDialer dialer,
+      MemberRelay relay,
       String service,
       RegisteredMember member,
       Runnable onHealthChange) {
     this.worker = worker;
     this.dialer = dialer;
+    this.relay = relay;
     this.service = service;
     this.member = member;
     this.onHealthChange = onHealthChange;
+    this.waiting = new LinkQueue(worker, this::estimatedWaitMillis);
   }
 
   /**
@@ -124,22 +123,33 @@
    * Takes in what is agreed about the member.
    *
    * @param agreed the member
-   * @param connections most links that this node may have
+   * @param agreedShare this node's part of the member's connections
    */
-  public void update(RegisteredMember agreed, int connections) {
+  public void update(RegisteredMember agreed, LinkShare agreedShare) {
     member = agreed;
-    share = connections;
+    share = agreedShare;
     if (member.draining() && leavingSinceMillis == NOT_LEAVING) {
       leavingSinceMillis = worker.now();
       refuseWaiting("the member leaves");
       worker.schedule(LEAVING_PRIMARY_MILLIS, this::closeSpare);
     }
     closeSpare();
-    if (links.isEmpty() && !member.draining()) {
+    if (!holdsLinks()) {
+      relayWaiting();
+    } else if (links.isEmpty() && !member.draining()) {
       dial();
     }
   }
 
+  /**
+   * Tells whether this node may have links of its own to the member.
+   *
+   * @return false when it asks other nodes
+   */
+  public boolean holdsLinks() {
+    return share.links() > 0;
+  }
+
   /** The member is gone: what is idle is closed, what is in use is closed when it comes back. */
   public void retire() {
     retired = true;
@@ -148,7 +158,7 @@
   }
 
   private void closeSpare() {
-    while (!idle.isEmpty() && (takesNothing() || links.size() > share)) {
+    while (!idle.isEmpty() && (takesNothing() || links.size() > share.links())) {
       idle.pollLast().close();
     }
   }
@@ -159,7 +169,7 @@
    * @return false when it leaves, is gone or is unreachable
    */
   public boolean isUsable() {
-    return !retired && !member.draining() && !unreachable;
+    return !retired && !member.draining() && canBeAsked();
   }
 
   /**
@@ -168,7 +178,11 @@
    * @return false when it has been leaving for a while, is gone or is unreachable
    */
   public boolean isUsableAsPrimary() {
-    return !takesNothing() && !unreachable;
+    return !takesNothing() && canBeAsked();
+  }
+
+  private boolean canBeAsked() {
+    return holdsLinks() ? !unreachable : worker.now() >= noRelayBeforeMillis;
   }
 
   private boolean takesNothing() {
@@ -211,8 +225,11 @@
    * @return milliseconds
    */
   public long estimatedWaitMillis() {
-    boolean room = !idle.isEmpty() || links.size() < share;
-    int places = Math.max(1, Math.min(share, links.size()));
+    if (!holdsLinks()) {
+      return 0;
+    }
+    boolean room = !idle.isEmpty() || links.size() < share.links();
+    int places = Math.max(1, Math.min(share.links(), links.size()));
     return room && waiting.isEmpty() ? 0 : Math.round((waiting.size() + 1) * holdMillis / places);
   }
 
@@ -229,31 +246,45 @@
       request.refused("the member takes no new work", RETRY_MILLIS);
       return;
     }
+    if (!holdsLinks()) {
+      acquireByRelay(request);
+      return;
+    }
     MemberLink link = waiting.isEmpty() ? takeIdle(request.sessionValues()) : null;
     if (link != null) {
       grant(request, link);
       return;
     }
     long estimate = estimatedWaitMillis();
-    boolean canOpen = links.size() < share && worker.now() >= noDialBeforeMillis;
+    boolean canOpen = links.size() < share.links() && worker.now() >= noDialBeforeMillis;
     boolean hasNone = links.isEmpty() && !canOpen;
-    if (hasNone || waiting.size() >= MOST_WAITING_A_LINK * share) {
+    if (hasNone || waiting.size() >= MOST_WAITING_A_LINK * share.links()) {
       request.refused("all connections of this node are in use", Math.max(estimate, 1));
       return;
     }
     long longest = request.maxWaitMillis();
     long wait = estimate > longest ? Math.round(CROWDED_WAIT_SHARE * longest) : longest;
-    numbers++;
-    Waiter waiter = new Waiter(request, worker.now(), numbers);
-    waiting.add(waiter);
-    worker.schedule(wait, () -> expire(waiter));
+    waiting.add(request, wait);
     dialForWaiting();
   }
 
-  private void expire(Waiter waiter) {
-    if (waiting.remove(waiter)) {
-      waiter.request().refused("no connection became free in time", estimatedWaitMillis());
+  private void acquireByRelay(LinkRequest request) {
+    MemberLink link = new MemberLink(worker, service, member.id(), this);
+    MemberRelay.Target target = new MemberRelay.Target(service, member.id(), share.holders());
+    MemberChannel channel =
+        relay.open(target, request, link, () -> noRelayBeforeMillis = worker.now() + RETRY_MILLIS);
+    if (channel == null) {
+      noRelayBeforeMillis = worker.now() + RETRY_MILLIS;
+      request.refused("no node that holds connections to the member answers", RETRY_MILLIS);
+      return;
     }
+    link.openThrough(channel);
+    grant(request, link);
+  }
+
+  /** This node may have no links any more: those who wait for one ask other nodes. */
+  private void relayWaiting() {
+    waiting.takeAll().forEach(this::acquire);
   }
 
   private MemberLink takeIdle(Map<String, String> values) {
@@ -282,21 +313,25 @@
    */
   public void release(MemberLink link) {
     Long since = inUse.remove(link);
+    if (link.isRelayed()) {
+      link.close();
+      return;
+    }
     if (since != null) {
       holdMillis += NEWEST * (worker.now() - since - holdMillis);
     }
     if (!link.isOpen()) {
       return;
     }
-    if (takesNothing() || links.size() > share) {
+    if (takesNothing() || links.size() > share.links()) {
       link.close();
       return;
     }
-    Waiter next = waiting.poll();
+    LinkRequest next = waiting.poll();
     if (next == null) {
       idle.addFirst(link);
     } else {
-      grant(next.request(), link);
+      grant(next, link);
     }
   }
 
@@ -306,38 +341,32 @@
    * @param link link that was granted; no answer may be outstanding on it unless it has ended
    */
   public void releaseRolledBack(MemberLink link) {
-    if (link.state() == SessionState.IDLE || !link.isOpen()) {
+    if (link.state() == SessionState.IDLE || !link.isOpen() || link.isRelayed()) {
       release(link);
       return;
     }
-    link.run(
-        new MemberCommand.RollBack(),
-        new CommandListener() {
-          @Override
-          public void answered(Answer answer) {
-            if (answer.state() != SessionState.IDLE) {
-              link.close();
-            }
-            release(link);
-          }
+    if (!link.isRollingBack()) {
+      link.rollBackNext();
+      link.flush();
+    }
+    link.onRolledBack(() -> releaseIdle(link));
+  }
 
-          @Override
-          public void lost(String cause) {
-            release(link);
-          }
-        });
+  private void releaseIdle(MemberLink link) {
+    if (link.state() != SessionState.IDLE) {
+      link.close();
+    }
+    release(link);
   }
 
   private void refuseWaiting(String cause) {
-    List<Waiter> refused = List.copyOf(waiting);
-    waiting.clear();
-    refused.forEach(each -> each.request().refused(cause, RETRY_MILLIS));
+    waiting.takeAll().forEach(each -> each.refused(cause, RETRY_MILLIS));
   }
 
   // ---- connections ----
 
   private void dialForWaiting() {
-    if (waiting.size() > dialing.size() && links.size() < share) {
+    if (waiting.size() > dialing.size() && links.size() < share.links()) {
       dial();
     }
   }
@@ -375,11 +404,16 @@
 
   @Override
   public void heard(MemberLink link) {
-    lastHeardMillis = worker.now();
+    if (!link.isRelayed()) {
+      lastHeardMillis = worker.now();
+    }
   }
 
   @Override
   public void ended(MemberLink link, Answer refusal, String cause) {
+    if (link.isRelayed()) {
+      return;
+    }
     links.remove(link);
     idle.remove(link);
     boolean neverOpened = dialing.remove(link) != null;
@@ -391,7 +425,7 @@
         markUnreachable(cause);
       }
     }
-    if (links.isEmpty() && !unreachable && !retired && !member.draining()) {
+    if (links.isEmpty() && holdsLinks() && !unreachable && !retired && !member.draining()) {
       dial();
     }
     if (links.isEmpty()) {
@@ -422,7 +456,7 @@
 
   /** Looks after the member's health; to be called a few times a second. */
   public void check() {
-    if (retired) {
+    if (retired || !holdsLinks()) {
       return;
     }
     long now = worker.now();
@@ -437,40 +471,11 @@
     boolean silent =
         asked != Long.MAX_VALUE && now - Math.max(asked, lastHeardMillis) > SILENCE_MILLIS;
     if (silent && dialing.isEmpty()) {
-      dialer.dial(member.host(), member.port(), new Probe());
-    }
-  }
-
-  /** A connection that is closed as soon as it stands. */
-  private final class Probe implements MemberChannel.Listener {
-    private boolean done;
-
-    Probe() {
-      worker.schedule(CONNECT_MILLIS, () -> failed("silent, and no connection comes about"));
-    }
-
-    @Override
-    public void connected(MemberChannel channel) {
-      done = true;
-      lastHeardMillis = worker.now();
-      channel.close();
-    }
-
-    @Override
-    public void answered(Answer answer) {
-      // Nothing was asked.
-    }
-
-    @Override
-    public void closed(String cause) {
-      failed(cause);
-    }
-
-    private void failed(String cause) {
-      if (!done) {
-        done = true;
-        markUnreachable(cause);
-      }
+      dialer.dial(
+          member.host(),
+          member.port(),
+          new SilenceProbe(
+              worker, CONNECT_MILLIS, () -> lastHeardMillis = worker.now(), this::markUnreachable));
     }
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberRelay.java
@@ -0,0 +1,32 @@
+package org.streamcourse.connection.member;
+
+import java.util.List;
+import org.streamcourse.version.image.MemberId;
+
+/** Reaches members through nodes that hold connections to them. */
+public interface MemberRelay {
+  /** For fleets in which every node holds connections of its own. */
+  MemberRelay NONE = (target, request, listener, memberUnusable) -> null;
+
+  /**
+   * A member and the nodes that hold connections to it.
+   *
+   * @param service service of the member
+   * @param member the member
+   * @param holders names of the nodes, the one to ask first in front
+   */
+  record Target(String service, MemberId member, List<String> holders) {}
+
+  /**
+   * Opens a way to a member for one statement or transaction. What is sent on it waits for a
+   * connection at the holder.
+   *
+   * @param target the member and its holders
+   * @param request tells rank and longest wait, and hears when no holder gives a connection
+   * @param listener hears the answers
+   * @param memberUnusable runs when no holder can reach the member
+   * @return way to the member, or null when no holder can be asked
+   */
+  MemberChannel open(
+      Target target, LinkRequest request, MemberChannel.Listener listener, Runnable memberUnusable);
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -0,0 +1,228 @@
+package org.streamcourse.connection.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.streamcourse.connection.member.LinkRequest;
+import org.streamcourse.connection.member.MemberChannel;
+import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberRelay;
+import org.streamcourse.request.statement.Answer;
+import org.streamcourse.request.statement.PreparedShape;
+import org.streamcourse.request.statement.SessionState;
+
+/**
+ * One unit of work on its way to a member through a holder. Session values and prepared names are
+ * kept here and go along with the steps that need them.
+ *
+ * <p>Invariant: it is brought to another holder only when the one before said that the member was
+ * asked nothing, or was certainly not reached.
+ */
+final class RelayChannel implements MemberChannel {
+  private final RelayClient client;
+  private final MemberRelay.Target target;
+  private final List<String> holders;
+  private final LinkRequest request;
+  private final Listener listener;
+  private final Runnable memberUnusable;
+  private final Map<String, String> values = new TreeMap<>();
+  private final Map<String, PreparedShape> prepared = new HashMap<>();
+  private final List<RelayMessage.Step> unsent = new ArrayList<>();
+  private RelayMessage.Open open;
+  private int holderIndex;
+  private long stream;
+  private boolean valuesChanged;
+  private boolean answeredOnce;
+  private boolean ended;
+  private boolean finishing;
+  private int unanswered;
+  private long openedMillis;
+  private long sentMillis;
+  private SessionState state = SessionState.IDLE;
+
+  RelayChannel(
+      RelayClient client,
+      MemberRelay.Target target,
+      List<String> holders,
+      LinkRequest request,
+      Listener listener,
+      Runnable memberUnusable) {
+    this.client = client;
+    this.target = target;
+    this.holders = holders;
+    this.request = request;
+    this.listener = listener;
+    this.memberUnusable = memberUnusable;
+  }
+
+  // ---- what is sent ----
+
+  @Override
+  public void send(MemberCommand command) {
+    if (command instanceof MemberCommand.SetSessionValue set) {
+      values.put(set.name(), set.value());
+      answerHere();
+    } else if (command instanceof MemberCommand.ResetSession) {
+      values.clear();
+      prepared.clear();
+      answerHere();
+    } else if (command instanceof MemberCommand.PrepareStatement prepare) {
+      prepared.put(prepare.name(), prepare.shape());
+      answerHere();
+    } else if (command instanceof MemberCommand.RunPrepared run) {
+      unsent.add(
+          new RelayMessage.ExecuteShape(
+              run.id(), prepared.get(run.name()), run.arguments(), run.floor()));
+    } else if (command instanceof MemberCommand.RollBack) {
+      unsent.add(new RelayMessage.Finish());
+      finishing = true;
+    } else {
+      unsent.add(new RelayMessage.Direct(command));
+    }
+  }
+
+  /** Nothing of the session stands at the holder, so nothing there has to be changed. */
+  private void answerHere() {
+    valuesChanged = true;
+    listener.answered(Answer.local(state));
+  }
+
+  @Override
+  public void flush() {
+    if (ended || unsent.isEmpty()) {
+      return;
+    }
+    List<RelayMessage.Step> steps = new ArrayList<>(unsent);
+    unsent.clear();
+    unanswered += finishing ? steps.size() - 1 : steps.size();
+    sentMillis = client.now();
+    if (open == null) {
+      openedMillis = sentMillis;
+      open =
+          new RelayMessage.Open(
+              0,
+              target.service(),
+              target.member(),
+              request.priority(),
+              request.needsPrimary(),
+              request.maxWaitMillis(),
+              new TreeMap<>(values),
+              steps);
+      sendOpen();
+    } else {
+      TreeMap<String, String> changed = valuesChanged ? new TreeMap<>(values) : null;
+      client.send(holder(), new RelayMessage.Continue(stream, changed, steps));
+    }
+    valuesChanged = false;
+  }
+
+  private String holder() {
+    return holders.get(holderIndex);
+  }
+
+  private void sendOpen() {
+    stream = client.begin(holder(), this);
+    client.send(
+        holder(),
+        new RelayMessage.Open(
+            stream,
+            open.service(),
+            open.member(),
+            open.priority(),
+            open.needsPrimary(),
+            remainingWaitMillis(),
+            open.values(),
+            open.steps()));
+  }
+
+  /** All holders that are asked one after the other share the longest wait. */
+  private long remainingWaitMillis() {
+    return open.maxWaitMillis() - (client.now() - openedMillis);
+  }
+
+  @Override
+  public void close() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (open != null) {
+      client.forget(holder(), stream);
+      client.send(holder(), new RelayMessage.Close(stream));
+    }
+  }
+
+  /** Time at which the oldest step without an answer was sent, or {@link Long#MAX_VALUE}. */
+  long unansweredSinceMillis() {
+    return unanswered > 0 ? sentMillis : Long.MAX_VALUE;
+  }
+
+  // ---- what comes back ----
+
+  void answered(List<Answer> answers) {
+    answeredOnce = true;
+    for (Answer answer : answers) {
+      unanswered--;
+      state = answer.state();
+      endIfOver(answer);
+      listener.answered(answer);
+    }
+    if (finishing && unanswered == 0) {
+      // The rollback is not answered, but nothing of the unit of work is left.
+      listener.answered(Answer.local(SessionState.IDLE));
+    }
+  }
+
+  /** After a failure the steps behind it are not run, so the stream is over as well. */
+  private void endIfOver(Answer answer) {
+    boolean idle = state == SessionState.IDLE && (unanswered == 0 || !answer.isComplete());
+    boolean finished = finishing && (unanswered == 0 || !answer.isComplete());
+    if (idle || finished) {
+      ended = true;
+      client.forget(holder(), stream);
+    }
+  }
+
+  void refused(RelayMessage.Refused refused) {
+    if (!asksNext()) {
+      boolean unusable = refused.refusal() != RelayMessage.Refusal.BUSY;
+      notRun(unusable, refused.cause(), refused.retryAfterMillis());
+    }
+  }
+
+  /** The holder was not reached. */
+  void notDelivered(String cause) {
+    if (answeredOnce) {
+      lost(cause);
+    } else if (!asksNext()) {
+      notRun(true, cause, 0);
+    }
+  }
+
+  private boolean asksNext() {
+    if (answeredOnce || holderIndex + 1 >= holders.size() || remainingWaitMillis() <= 0) {
+      return false;
+    }
+    holderIndex++;
+    sentMillis = client.now();
+    sendOpen();
+    return true;
+  }
+
+  private void notRun(boolean unusable, String cause, long retryAfterMillis) {
+    ended = true;
+    if (unusable) {
+      memberUnusable.run();
+    }
+    request.refused(cause, retryAfterMillis);
+  }
+
+  void lost(String cause) {
+    if (!ended) {
+      ended = true;
+      listener.closed(cause);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -0,0 +1,224 @@
+package org.streamcourse.connection.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamcourse.connection.member.LinkRequest;
+import org.streamcourse.connection.member.MemberChannel;
+import org.streamcourse.connection.member.MemberRelay;
+import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.process.Worker;
+
+/**
+ * The side of a relay that has the callers' statements: asks holders of connections, and judges by
+ * their answers which of them can be asked.
+ *
+ * <p>A holder that owes an answer and is silent gets a {@link RelayMessage.Ping}; one that does not
+ * answer that either is suspected: what it was asked is lost, and others are asked instead until it
+ * speaks again.
+ *
+ * <p>All methods run on the proxy's worker.
+ */
+public final class RelayClient implements MemberRelay {
+  private static final Logger LOG = LoggerFactory.getLogger(RelayClient.class);
+
+  /**
+   * Silence of a holder that owes an answer, after which it is asked for a sign of life; most
+   * statements are answered sooner, so few questions are needed.
+   */
+  private static final long SILENCE_MILLIS = 200;
+
+  /** Time in which a sign of life comes: ways between regions, and a holder that is busy. */
+  private static final long PONG_MILLIS = 250;
+
+  /** Time between questions to a holder that is suspected. */
+  private static final long SUSPECT_PING_MILLIS = 300;
+
+  /** Holders that one unit of work is brought to, each only if the one before did not run it. */
+  private static final int MOST_HOLDERS = 3;
+
+  /** What this node knows of one holder. */
+  private static final class Holder {
+    private final Map<Long, RelayChannel> streams = new HashMap<>();
+    private long heardMillis;
+    private long pingedMillis = NOT_PINGED;
+    private boolean suspected;
+  }
+
+  private static final long NOT_PINGED = -1;
+
+  private final Worker worker;
+  private final PeerNetwork network;
+  private final Map<String, Holder> holders = new TreeMap<>();
+  private long numbers;
+
+  /**
+   * Creates a client that asks nobody yet.
+   *
+   * @param worker the proxy's worker
+   * @param network way to the holders
+   */
+  public RelayClient(Worker worker, PeerNetwork network) {
+    this.worker = worker;
+    this.network = network;
+  }
+
+  @Override
+  public MemberChannel open(
+      Target target,
+      LinkRequest request,
+      MemberChannel.Listener listener,
+      Runnable memberUnusable) {
+    List<String> asked =
+        target.holders().stream()
+            .filter(name -> !holder(name).suspected)
+            .limit(MOST_HOLDERS)
+            .toList();
+    return asked.isEmpty()
+        ? null
+        : new RelayChannel(this, target, asked, request, listener, memberUnusable);
+  }
+
+  private Holder holder(String name) {
+    return holders.computeIfAbsent(name, any -> new Holder());
+  }
+
+  // ---- for channels ----
+
+  /** Gives a channel a number at a holder. */
+  long begin(String name, RelayChannel channel) {
+    numbers++;
+    Holder holder = holder(name);
+    if (holder.streams.isEmpty()) {
+      holder.heardMillis = worker.now();
+    }
+    holder.streams.put(numbers, channel);
+    return numbers;
+  }
+
+  void send(String name, RelayMessage message) {
+    network.send(name, message);
+  }
+
+  void forget(String name, long stream) {
+    holder(name).streams.remove(stream);
+  }
+
+  long now() {
+    return worker.now();
+  }
+
+  // ---- holders ----
+
+  /**
+   * Handles a holder's message.
+   *
+   * @param name name of the holder
+   * @param message what arrived
+   */
+  public void receive(String name, RelayMessage message) {
+    Holder holder = holder(name);
+    holder.heardMillis = worker.now();
+    holder.pingedMillis = NOT_PINGED;
+    if (holder.suspected) {
+      holder.suspected = false;
+      LOG.info("relay through {} works again", name);
+    }
+    if (message instanceof RelayMessage.Answered answered) {
+      RelayChannel channel = holder.streams.get(answered.stream());
+      if (channel != null) {
+        channel.answered(answered.answers());
+      }
+    } else if (message instanceof RelayMessage.Refused refused) {
+      RelayChannel channel = holder.streams.remove(refused.stream());
+      if (channel != null) {
+        channel.refused(refused);
+      }
+    } else if (message instanceof RelayMessage.Ended ended) {
+      RelayChannel channel = holder.streams.remove(ended.stream());
+      if (channel != null) {
+        channel.lost(ended.cause());
+      }
+    }
+  }
+
+  /**
+   * The link to a holder broke; what was asked of it may or may not run.
+   *
+   * @param name name of the holder
+   */
+  public void linkLost(String name) {
+    Holder holder = holders.get(name);
+    if (holder != null) {
+      loseStreams(holder, "the link to " + name + " broke");
+    }
+  }
+
+  /**
+   * A holder can't be reached; what was sent to it since its last link broke has not arrived.
+   *
+   * @param name name of the holder
+   */
+  public void unreachable(String name) {
+    Holder holder = holders.get(name);
+    if (holder == null) {
+      return;
+    }
+    suspect(name, holder, "no link comes about");
+    List<RelayChannel> unsent = List.copyOf(holder.streams.values());
+    holder.streams.clear();
+    unsent.forEach(channel -> channel.notDelivered("no link to " + name));
+  }
+
+  /** Looks after the holders; to be called a few times a second. */
+  public void check() {
+    long now = worker.now();
+    for (Map.Entry<String, Holder> each : List.copyOf(holders.entrySet())) {
+      Holder holder = each.getValue();
+      if (holder.suspected) {
+        if (now - holder.pingedMillis >= SUSPECT_PING_MILLIS) {
+          ping(each.getKey(), holder);
+        }
+      } else if (holder.pingedMillis != NOT_PINGED) {
+        if (now - holder.pingedMillis >= PONG_MILLIS) {
+          suspect(each.getKey(), holder, "silent for " + (now - holder.heardMillis) + " ms");
+          loseStreams(holder, "the node " + each.getKey() + " is silent");
+        }
+      } else if (owesAnswerSince(holder) < now - SILENCE_MILLIS) {
+        ping(each.getKey(), holder);
+      }
+    }
+  }
+
+  /** Time since which a holder has been silent though it owes an answer. */
+  private static long owesAnswerSince(Holder holder) {
+    long oldest =
+        holder.streams.values().stream()
+            .mapToLong(RelayChannel::unansweredSinceMillis)
+            .min()
+            .orElse(Long.MAX_VALUE);
+    return oldest == Long.MAX_VALUE ? oldest : Math.max(oldest, holder.heardMillis);
+  }
+
+  private void ping(String name, Holder holder) {
+    holder.pingedMillis = worker.now();
+    network.send(name, new RelayMessage.Ping());
+  }
+
+  private void suspect(String name, Holder holder, String cause) {
+    if (!holder.suspected) {
+      holder.suspected = true;
+      holder.pingedMillis = worker.now();
+      LOG.warn("relay through {} is suspected: {}", name, cause);
+    }
+  }
+
+  private static void loseStreams(Holder holder, String cause) {
+    List<RelayChannel> lost = List.copyOf(holder.streams.values());
+    holder.streams.clear();
+    lost.forEach(channel -> channel.lost(cause));
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -0,0 +1,165 @@
+package org.streamcourse.connection.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.process.Worker;
+import org.streamcourse.version.image.MemberId;
+
+/**
+ * The side of a relay that holds connections: brings other nodes' statements to members over this
+ * node's own links.
+ *
+ * <p>All methods run on the proxy's worker.
+ */
+public final class RelayServer {
+  private static final Logger LOG = LoggerFactory.getLogger(RelayServer.class);
+
+  /**
+   * Time beyond the longest rest of a transaction after which a stream's sender counts as gone; the
+   * sender itself ends a transaction that rests too long, and its word needs some time to come.
+   */
+  private static final long GONE_MILLIS = 1_500;
+
+  private final Worker worker;
+  private final PeerNetwork network;
+  private final BiFunction<String, MemberId, MemberLinks> links;
+  private final LongSupplier longestRestMillis;
+  private final Map<String, Map<Long, RelayedWork>> streams = new TreeMap<>();
+  private boolean stopping;
+
+  /**
+   * Creates a server without streams.
+   *
+   * @param worker the proxy's worker
+   * @param network way to the other nodes
+   * @param links finds this node's links to a member of a service; null when it holds none
+   * @param longestRestMillis time that a transaction may rest
+   */
+  public RelayServer(
+      Worker worker,
+      PeerNetwork network,
+      BiFunction<String, MemberId, MemberLinks> links,
+      LongSupplier longestRestMillis) {
+    this.worker = worker;
+    this.network = network;
+    this.links = links;
+    this.longestRestMillis = longestRestMillis;
+  }
+
+  /** Takes no new streams from now on; senders go to other holders. */
+  public void stopTaking() {
+    stopping = true;
+  }
+
+  /**
+   * Returns the number of streams.
+   *
+   * @return streams that are waiting, working or within a transaction
+   */
+  public int streams() {
+    return streams.values().stream().mapToInt(Map::size).sum();
+  }
+
+  /**
+   * Handles a message of a node that has callers' statements.
+   *
+   * @param sender name of the node
+   * @param message what arrived
+   */
+  public void receive(String sender, RelayMessage message) {
+    if (message instanceof RelayMessage.Open open) {
+      open(sender, open);
+    } else if (message instanceof RelayMessage.Continue next) {
+      RelayedWork work = find(sender, next.stream());
+      if (work == null) {
+        send(sender, new RelayMessage.Ended(next.stream(), "the stream has ended here"));
+      } else {
+        work.goOn(next.values(), next.steps());
+      }
+    } else if (message instanceof RelayMessage.Close close) {
+      RelayedWork work = find(sender, close.stream());
+      if (work != null) {
+        work.end();
+      }
+      // Also a sign of life: a sender that hears nothing takes the link for stuck.
+      send(sender, new RelayMessage.Ended(close.stream(), "closed by its sender"));
+    } else if (message instanceof RelayMessage.Ping) {
+      send(sender, new RelayMessage.Pong());
+    }
+  }
+
+  private void open(String sender, RelayMessage.Open open) {
+    MemberLinks held = stopping ? null : links.apply(open.service(), open.member());
+    if (held == null) {
+      String cause = stopping ? "the node stops" : "no connections to the member are held here";
+      send(
+          sender, new RelayMessage.Refused(open.stream(), RelayMessage.Refusal.NOT_HELD, cause, 0));
+      return;
+    }
+    RelayedWork work = new RelayedWork(this, sender, open, held);
+    streams.computeIfAbsent(sender, any -> new HashMap<>()).put(open.stream(), work);
+    held.acquire(work);
+  }
+
+  private RelayedWork find(String sender, long stream) {
+    return streams.getOrDefault(sender, Map.of()).get(stream);
+  }
+
+  // ---- for the work of one stream ----
+
+  void send(String sender, RelayMessage message) {
+    network.send(sender, message);
+  }
+
+  void forget(String sender, long stream) {
+    Map<Long, RelayedWork> ofSender = streams.get(sender);
+    if (ofSender != null) {
+      ofSender.remove(stream);
+    }
+  }
+
+  long now() {
+    return worker.now();
+  }
+
+  // ---- senders that are gone ----
+
+  /**
+   * The link to a sender broke: its streams are given up, and what is open in them is rolled back.
+   *
+   * @param sender name of the node
+   */
+  public void linkLost(String sender) {
+    Map<Long, RelayedWork> lost = streams.remove(sender);
+    if (lost != null) {
+      lost.values().forEach(work -> giveUp(work, "the link between the nodes broke"));
+    }
+  }
+
+  /** Gives up the streams of senders that rest for longer than they may; to be called regularly. */
+  public void check() {
+    long longest = longestRestMillis.getAsLong() + GONE_MILLIS;
+    List<RelayedWork> gone = new ArrayList<>();
+    for (Map<Long, RelayedWork> ofSender : streams.values()) {
+      ofSender.values().stream().filter(work -> work.restsFor() > longest).forEach(gone::add);
+    }
+    for (RelayedWork work : gone) {
+      LOG.info("relayed stream of {} is given up: silent for {} ms", work.sender(), longest);
+      giveUp(work, "it rested too long");
+    }
+  }
+
+  private void giveUp(RelayedWork work, String cause) {
+    work.end();
+    send(work.sender(), new RelayMessage.Ended(work.stream(), cause));
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -0,0 +1,197 @@
+package org.streamcourse.connection.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import org.streamcourse.connection.member.CommandListener;
+import org.streamcourse.connection.member.LinkRequest;
+import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberLink;
+import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.request.statement.Answer;
+import org.streamcourse.request.statement.AnswerCode;
+import org.streamcourse.request.statement.SessionState;
+
+/**
+ * One stream at the node that holds connections: waits for a link, and runs one step after the
+ * other on it. A step that follows a failed one is not run.
+ */
+final class RelayedWork implements LinkRequest {
+  private final RelayServer server;
+  private final String sender;
+  private final RelayMessage.Open open;
+  private final MemberLinks links;
+  private final Deque<RelayMessage.Step> steps = new ArrayDeque<>();
+  private final List<Answer> answers = new ArrayList<>();
+  private boolean finishing;
+  private Map<String, String> values;
+  private MemberLink link;
+  private boolean working;
+  private boolean ended;
+  private long lastMillis;
+
+  RelayedWork(RelayServer server, String sender, RelayMessage.Open open, MemberLinks links) {
+    this.server = server;
+    this.sender = sender;
+    this.open = open;
+    this.links = links;
+    this.values = open.values();
+    this.lastMillis = server.now();
+    steps.addAll(open.steps());
+  }
+
+  String sender() {
+    return sender;
+  }
+
+  long stream() {
+    return open.stream();
+  }
+
+  /** Time for which the sender has owed the next step, in milliseconds; 0 while it owes none. */
+  long restsFor() {
+    return link == null || working ? 0 : server.now() - lastMillis;
+  }
+
+  // ---- the wish for a link ----
+
+  @Override
+  public int priority() {
+    return open.priority();
+  }
+
+  @Override
+  public boolean needsPrimary() {
+    return open.needsPrimary();
+  }
+
+  @Override
+  public long maxWaitMillis() {
+    return open.maxWaitMillis();
+  }
+
+  @Override
+  public Map<String, String> sessionValues() {
+    return values;
+  }
+
+  @Override
+  public void granted(MemberLink granted) {
+    if (ended) {
+      links.release(granted);
+      return;
+    }
+    link = granted;
+    next();
+  }
+
+  @Override
+  public void refused(String cause, long retryAfterMillis) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    server.forget(sender, open.stream());
+    boolean usable = open.needsPrimary() ? links.isUsableAsPrimary() : links.isUsable();
+    RelayMessage.Refusal refusal =
+        usable ? RelayMessage.Refusal.BUSY : RelayMessage.Refusal.MEMBER_UNUSABLE;
+    server.send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis));
+  }
+
+  // ---- steps ----
+
+  void goOn(Map<String, String> changed, List<RelayMessage.Step> more) {
+    values = changed == null ? values : changed;
+    steps.addAll(more);
+    lastMillis = server.now();
+    if (link != null && !working) {
+      next();
+    }
+  }
+
+  private void next() {
+    RelayMessage.Step step = steps.poll();
+    if (step == null) {
+      return;
+    }
+    if (step instanceof RelayMessage.Finish) {
+      end();
+      return;
+    }
+    working = true;
+    link.adopt(values);
+    link.run(command(step), new StepEnd());
+  }
+
+  private MemberCommand command(RelayMessage.Step step) {
+    if (step instanceof RelayMessage.ExecuteShape execute) {
+      String name = link.prepare(execute.shape());
+      return new MemberCommand.RunPrepared(
+          execute.id(), name, execute.arguments(), execute.floor());
+    }
+    return ((RelayMessage.Direct) step).command();
+  }
+
+  private final class StepEnd implements CommandListener {
+    @Override
+    public void answered(Answer answer) {
+      working = false;
+      lastMillis = server.now();
+      if (ended) {
+        return;
+      }
+      answers.add(answer);
+      if (!answer.isComplete()) {
+        finishing = steps.peekLast() instanceof RelayMessage.Finish;
+        steps.clear();
+      }
+      if (answer.code() == AnswerCode.UNKNOWN_NAME) {
+        // What this node believes to be prepared there is not.
+        link.close();
+      }
+      if (steps.isEmpty() || steps.peek() instanceof RelayMessage.Finish) {
+        tellAnswers();
+      }
+      boolean idle = answer.state() == SessionState.IDLE && steps.isEmpty();
+      if (idle || finishing) {
+        end();
+      } else {
+        next();
+      }
+    }
+
+    private void tellAnswers() {
+      server.send(sender, new RelayMessage.Answered(open.stream(), List.copyOf(answers)));
+      answers.clear();
+    }
+
+    @Override
+    public void lost(String cause) {
+      working = false;
+      if (!ended) {
+        end();
+        server.send(sender, new RelayMessage.Ended(open.stream(), "the member was lost: " + cause));
+      }
+    }
+  }
+
+  /** Gives the link back, rolled back where something is open on it. */
+  void end() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    server.forget(sender, open.stream());
+    if (link == null) {
+      return;
+    }
+    if (working) {
+      link.close();
+      links.release(link);
+    } else {
+      links.releaseRolledBack(link);
+    }
+  }
+}
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -7,6 +7,9 @@
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.peer.PeerHandler;
 import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.connection.relay.RelayClient;
+import org.streamcourse.connection.relay.RelayMessage;
+import org.streamcourse.connection.relay.RelayServer;
 import org.streamcourse.connection.session.ClientChannel;
 import org.streamcourse.connection.session.ClientSession;
 import org.streamcourse.connection.session.SessionNode;
@@ -43,6 +46,8 @@
   private final NodeAgent agent;
   private final MemberTable table;
   private final RequestLog log;
+  private final RelayClient relayClient;
+  private final RelayServer relayServer;
   private final Set<ClientSession> sessions = new LinkedHashSet<>();
   private volatile boolean mayServe;
   private volatile boolean stopping;
@@ -70,7 +75,9 @@
       RequestLog log) {
     this.worker = worker;
     this.log = log;
-    this.table = new MemberTable(worker, dialer, self.place().zone());
+    this.relayClient = new RelayClient(worker, network);
+    this.table = new MemberTable(worker, dialer, relayClient, self);
+    this.relayServer = new RelayServer(worker, network, table::held, this::longestRestMillis);
     this.agent =
         new NodeAgent(
             worker, network, new MemoryDisk(), codec, ControlSettings.DEFAULT, controllers, self);
@@ -88,8 +95,14 @@
     worker.repeat(DROPPED_LINES_MILLIS, log::tellDropped);
   }
 
+  private long longestRestMillis() {
+    return image().document().limits().transactionIdleMillis();
+  }
+
   private void checkMembers() {
     table.checkHealth();
+    relayClient.check();
+    relayServer.check();
     reportAllMembers();
   }
 
@@ -150,6 +163,7 @@
   /** Ends each session, and each that is opened later, as soon as nothing is open in it. */
   public void drainSessions() {
     draining = true;
+    relayServer.stopTaking();
     List.copyOf(sessions).forEach(ClientSession::drain);
   }
 
@@ -167,6 +181,15 @@
     return sessions.size();
   }
 
+  /**
+   * Returns the number of other nodes' statements and transactions that run over this node's links.
+   *
+   * @return streams
+   */
+  public int relayedStreams() {
+    return relayServer.streams();
+  }
+
   /**
    * Returns the node's agent.
    *
@@ -212,11 +235,31 @@
 
   @Override
   public void receive(String peer, Object message) {
-    worker.execute(() -> agent.receive(peer, message));
+    worker.execute(() -> handle(peer, message));
   }
 
+  private void handle(String peer, Object message) {
+    if (!(message instanceof RelayMessage relayed)) {
+      agent.receive(peer, message);
+    } else if (relayed.isForHolder()) {
+      relayServer.receive(peer, relayed);
+    } else {
+      relayClient.receive(peer, relayed);
+    }
+  }
+
+  /** For controllers, the missing answers to heartbeats tell the same. */
   @Override
   public void linkLost(String peer) {
-    // The missing answers to heartbeats tell the same.
+    worker.execute(
+        () -> {
+          relayClient.linkLost(peer);
+          relayServer.linkLost(peer);
+        });
+  }
+
+  @Override
+  public void unreachable(String peer) {
+    worker.execute(() -> relayClient.unreachable(peer));
   }
 }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -149,7 +149,8 @@
     onLoop(node::drainSessions);
     boolean abandoned = false;
     long limit = Math.round(graceMillis * (1 - STOP_RESERVE));
-    while (node.openSessions() > 0 && node.worker().now() - startedAt < limit) {
+    while (node.openSessions() + node.relayedStreams() > 0
+        && node.worker().now() - startedAt < limit) {
       if (!abandoned && node.worker().now() - startedAt > graceMillis / 2) {
         abandoned = true;
         onLoop(node::abandonTransactions);
--- a/server/src/main/java/org/streamcourse/request/StreamTypes.java
+++ b/server/src/main/java/org/streamcourse/request/StreamTypes.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.streamcourse.connection.peer.LinkMessage;
+import org.streamcourse.connection.relay.RelayTypes;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.version.control.ControlTypes;
 
@@ -39,6 +40,7 @@
   public static MessageCodec codec() {
     List<Class<?>> types = new ArrayList<>(ControlTypes.all());
     types.addAll(OWN);
+    types.addAll(RelayTypes.ALL);
     return new MessageCodec(types);
   }
 }
--- a/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
@@ -11,9 +11,11 @@
 import java.util.TreeSet;
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.MemberRelay;
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.NodeImage;
 import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.ServiceImage;
 import org.streamcourse.version.image.TermPosition;
@@ -24,14 +26,10 @@
  * <p>All methods run on the proxy's worker.
  */
 public final class MemberTable {
-  /** Connections of each member that are left for the controllers' questions. */
-  private static final int RESERVED_CONNECTIONS = 1;
-
-  private static final int DEFAULT_CONNECTIONS = 16;
-
   private final Worker worker;
   private final MemberDialer dialer;
-  private final String zone;
+  private final MemberRelay relay;
+  private final NodeImage self;
   private final Map<String, ServiceMembers> services = new TreeMap<>();
   private final Set<Runnable> waiting = new LinkedHashSet<>();
   private Runnable healthListener = () -> {};
@@ -41,12 +39,14 @@
    *
    * @param worker the proxy's worker
    * @param dialer opens connections to members
-   * @param zone zone of this node
+   * @param relay way to members to which this node may have no connections
+   * @param self this node
    */
-  public MemberTable(Worker worker, MemberDialer dialer, String zone) {
+  public MemberTable(Worker worker, MemberDialer dialer, MemberRelay relay, NodeImage self) {
     this.worker = worker;
     this.dialer = dialer;
-    this.zone = zone;
+    this.relay = relay;
+    this.self = self;
   }
 
   /**
@@ -71,37 +71,26 @@
         services.remove(gone).retireAll();
       }
     }
+    LinkShares shares = new LinkShares(image, self.name());
     for (String name : used) {
       ServiceMembers members =
-          services.computeIfAbsent(name, any -> new ServiceMembers(worker, zone));
-      updateService(members, image.service(name), share(image, name));
+          services.computeIfAbsent(name, any -> new ServiceMembers(worker, self.place().zone()));
+      updateService(members, image.service(name), shares);
     }
     List<Runnable> woken = new ArrayList<>(waiting);
     waiting.clear();
     woken.forEach(Runnable::run);
   }
 
-  /** This node's part of the connections that each member of a service accepts. */
-  private static int share(ClusterImage image, String service) {
-    int limit =
-        image
-            .document()
-            .service(service)
-            .map(rules -> rules.maxConnections())
-            .orElse(DEFAULT_CONNECTIONS);
-    int nodes = Math.max(1, image.nodes().size());
-    return Math.max(1, (limit - RESERVED_CONNECTIONS) / nodes);
-  }
-
-  private void updateService(ServiceMembers members, ServiceImage image, int share) {
+  private void updateService(ServiceMembers members, ServiceImage image, LinkShares shares) {
     Map<MemberId, MemberLinks> next = new HashMap<>();
     for (RegisteredMember member : image.all()) {
       MemberLinks links = members.links(member.id());
       if (links == null) {
-        links = new MemberLinks(worker, dialer, image.name(), member, healthListener);
+        links = new MemberLinks(worker, dialer, relay, image.name(), member, healthListener);
       }
       next.put(member.id(), links);
-      links.update(member, share);
+      links.update(member, shares.of(image.name(), member));
     }
     members.replace(next, image.primary(), image.promotion());
   }
@@ -116,6 +105,19 @@
     return services.get(service);
   }
 
+  /**
+   * Finds this node's own links to a member.
+   *
+   * @param service service's name
+   * @param member the member
+   * @return its links, or null when this node may have none
+   */
+  public MemberLinks held(String service, MemberId member) {
+    ServiceMembers members = services.get(service);
+    MemberLinks links = members == null ? null : members.links(member);
+    return links == null || !links.holdsLinks() ? null : links;
+  }
+
   /**
    * Notes where the log of a primary stood that committed a transaction.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
+++ b/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
@@ -104,7 +104,12 @@
 
     @Override
     public void refused(String cause, long retryAfterMillis) {
-      worker.execute(PositionProbe.this::ended);
+      if (link == null) {
+        worker.execute(PositionProbe.this::ended);
+      } else {
+        // Its end is told as the loss of the question.
+        link.close();
+      }
     }
 
     @Override
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -231,9 +231,14 @@
 
     @Override
     public void refused(String cause, long retryAfterMillis) {
-      if (phase == Phase.WAITING && turn == ofTurn) {
-        noLink(cause, retryAfterMillis);
+      if (phase == Phase.DONE || turn != ofTurn) {
+        return;
+      }
+      phase = Phase.WAITING;
+      if (link != null) {
+        forgetLink();
       }
+      noLink(cause, retryAfterMillis);
     }
   }
 
@@ -265,7 +270,11 @@
         phase = Phase.RUNNING;
         link.run(context.command(link, null), new SingleAnswer());
       }
-      case PRIMARY_READ, PRIMARY_TRANSACTION, ANY_TRANSACTION -> {
+      case PRIMARY_READ -> {
+        phase = Phase.RUNNING;
+        link.runGuarded(context.command(link, null), new SingleAnswer());
+      }
+      case PRIMARY_TRANSACTION, ANY_TRANSACTION -> {
         phase = Phase.BEGINNING;
         boolean readOnly = plan == StatementPlan.ANY_TRANSACTION;
         link.run(new MemberCommand.BeginTransaction(readOnly, floor), new Begun());
@@ -288,12 +297,6 @@
       if (plan.needsPrimary()) {
         notePrimary(answer);
       }
-      if (plan == StatementPlan.PRIMARY_READ) {
-        phase = Phase.RUNNING;
-        sentMillis = worker.now();
-        link.run(context.command(link, null), new SingleAnswer());
-        return;
-      }
       MemberLinks openedAt = links;
       MemberLink opened = link;
       link = null;
@@ -321,7 +324,7 @@
       log.observer().memberAnswered(latency);
       members.answered(links.member().id(), latency, answer.position());
       if (answer.isComplete()) {
-        if (plan == StatementPlan.WRITE) {
+        if (plan.needsPrimary()) {
           notePrimary(answer);
         }
         releaseLink();
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
@@ -0,0 +1,242 @@
+package org.streamcourse.request.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.relay.RelayClient;
+import org.streamcourse.connection.relay.RelayMessage;
+import org.streamcourse.connection.relay.RelayServer;
+import org.streamcourse.process.MessageCodec;
+import org.streamcourse.request.StreamTypes;
+import org.streamcourse.request.statement.AnswerCode;
+import org.streamcourse.request.statement.Statement;
+import org.streamcourse.request.statement.StatementId;
+import org.streamcourse.request.statement.StatementRequest;
+import org.streamcourse.version.image.MemberId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Statements of a node without connections of its own, brought to members through other nodes. The
+ * fleet has more nodes than the members accept connections.
+ */
+public class RelayTest {
+  private static final int NODES = ScriptedService.CONNECTIONS + 5;
+  private static final long WAY_MILLIS = 5;
+  private static final long REST_MILLIS = 3_000;
+  private static final MessageCodec CODEC = StreamTypes.codec();
+
+  /** One node of the fleet. */
+  private final class Node {
+    private final String name;
+    private final MemberTable table;
+    private final RelayClient client;
+    private final RelayServer server;
+
+    Node(int number) {
+      name = ScriptedService.node(number).name();
+      client = new RelayClient(service.worker, (peer, message) -> carry(name, peer, message));
+      table = new MemberTable(service.worker, service, client, ScriptedService.node(number));
+      server =
+          new RelayServer(
+              service.worker,
+              (peer, message) -> carry(name, peer, message),
+              table::held,
+              () -> REST_MILLIS);
+      table.update(ScriptedService.image(NODES));
+      service.worker.repeat(
+          100,
+          () -> {
+            client.check();
+            server.check();
+          });
+    }
+
+    private boolean holds(String member) {
+      return table.held("s", new MemberId(member)) != null;
+    }
+  }
+
+  private ScriptedService service;
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Set<String> silent = new HashSet<>();
+  private final Set<String> down = new HashSet<>();
+  private Node origin;
+
+  @BeforeMethod
+  public void startFleet() {
+    nodes.clear();
+    silent.clear();
+    down.clear();
+    service = new ScriptedService();
+    for (int number = 1; number <= NODES; number++) {
+      Node node = new Node(number);
+      nodes.put(node.name, node);
+    }
+    service.pass(50);
+    origin = nodes.values().stream().filter(RelayTest::holdsNothing).findFirst().orElseThrow();
+  }
+
+  private static boolean holdsNothing(Node node) {
+    return !node.holds(ScriptedService.PRIMARY)
+        && !node.holds(ScriptedService.FIRST_REPLICA)
+        && !node.holds(ScriptedService.SECOND_REPLICA);
+  }
+
+  /** Brings a message over, as bytes, unless an end of the way is silent or down. */
+  private void carry(String from, String to, Object message) {
+    if (down.contains(to)) {
+      service.worker.schedule(WAY_MILLIS, () -> nodes.get(from).client.unreachable(to));
+      return;
+    }
+    byte[] bytes = CODEC.encode(message);
+    service.worker.schedule(
+        WAY_MILLIS,
+        () -> {
+          if (silent.contains(to) || silent.contains(from)) {
+            return;
+          }
+          RelayMessage arrived = (RelayMessage) CODEC.decode(bytes);
+          if (arrived.isForHolder()) {
+            nodes.get(to).server.receive(from, arrived);
+          } else {
+            nodes.get(to).client.receive(from, arrived);
+          }
+        });
+  }
+
+  private Set<String> holders(String member) {
+    Set<String> found = new HashSet<>();
+    nodes.values().stream()
+        .filter(node -> node.holds(member))
+        .forEach(node -> found.add(node.name));
+    return found;
+  }
+
+  /** The holder that the origin asks first. */
+  private String firstHolder(String member) {
+    return new LinkShares(ScriptedService.image(NODES), origin.name)
+        .of(
+            "s",
+            ScriptedService.image(NODES).service("s").all().stream()
+                .filter(each -> each.id().value().equals(member))
+                .findFirst()
+                .orElseThrow())
+        .holders()
+        .get(0);
+  }
+
+  private void write(String id) {
+    StatementRequest request =
+        new StatementRequest(new StatementId(id), "WRITE x y", new Statement.Write());
+    service.start(origin.table, request, StatementPlan.WRITE);
+  }
+
+  private long writesRun() {
+    return service.count(ScriptedService.PRIMARY, MemberCommand.Run.class);
+  }
+
+  @Test
+  public void fewNodesHoldAllConnectionsAndStayWithinTheLimit() {
+    for (String member : ScriptedService.MEMBERS) {
+      assertEquals(holders(member).size(), 4, member);
+    }
+  }
+
+  @Test
+  public void aStatementRunsOnceOverAHoldersConnection() {
+    write("w");
+    service.pass(200);
+    assertEquals(service.completed(), 1);
+    assertEquals(writesRun(), 1);
+  }
+
+  @Test
+  public void aHolderThatIsDownIsLeftForAnother() {
+    down.add(firstHolder(ScriptedService.PRIMARY));
+    write("w");
+    service.pass(200);
+    assertEquals(service.completed(), 1);
+    assertEquals(writesRun(), 1);
+  }
+
+  @Test
+  public void aHolderThatStopsIsLeftForAnother() {
+    nodes.get(firstHolder(ScriptedService.PRIMARY)).server.stopTaking();
+    write("w");
+    service.pass(200);
+    assertEquals(service.completed(), 1);
+    assertEquals(writesRun(), 1);
+  }
+
+  @Test
+  public void aWriteThatWentToASilentHolderIsUnknownAndNotSentAgain() {
+    silent.add(firstHolder(ScriptedService.PRIMARY));
+    write("w");
+    service.pass(700);
+    assertEquals(service.answers.size(), 1);
+    assertEquals(service.answers.get(0).code(), AnswerCode.OUTCOME_UNKNOWN);
+    assertEquals(writesRun(), 0);
+    write("v");
+    service.pass(200);
+    assertEquals(service.completed(), 1, "others are asked meanwhile");
+  }
+
+  @Test
+  public void aSilentHolderIsAskedAgainOnceItSpeaks() {
+    String holder = firstHolder(ScriptedService.PRIMARY);
+    silent.add(holder);
+    write("w");
+    service.pass(1_000);
+    silent.clear();
+    service.pass(1_000);
+    write("v");
+    service.pass(WAY_MILLIS + 2);
+    assertEquals(nodes.get(holder).server.streams(), 1);
+  }
+
+  @Test
+  public void whatWaitsForTooLongIsRefusedBeforeItsTimeIsOverAndHasNotRun() {
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    int links = 4 * 2;
+    for (int i = 0; i < 2 * links; i++) {
+      write("w" + i);
+    }
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 8 * WAY_MILLIS);
+    long refused =
+        service.answers.stream().filter(answer -> answer.code() == AnswerCode.BUSY).count();
+    assertEquals(refused, service.answers.size(), "nobody is left in doubt so early");
+    assertTrue(refused >= links, refused + " are refused");
+    assertEquals(writesRun() + refused, 2 * links, "what was refused has not run");
+  }
+
+  @Test
+  public void aTransactionOfASenderThatIsGoneIsRolledBack() {
+    StatementRequest request =
+        new StatementRequest(new StatementId("t"), "WRITE x y", new Statement.Write());
+    service.start(origin.table, request, StatementPlan.PRIMARY_TRANSACTION);
+    service.pass(100);
+    assertEquals(service.count(ScriptedService.PRIMARY, MemberCommand.RollBack.class), 0);
+    silent.add(origin.name);
+    service.pass(2 * REST_MILLIS);
+    assertEquals(service.count(ScriptedService.PRIMARY, MemberCommand.RollBack.class), 1);
+    int open = nodes.values().stream().mapToInt(node -> node.server.streams()).sum();
+    assertEquals(open, 0);
+  }
+
+  @Test
+  public void aTransactionIsRolledBackWhenTheLinkBetweenTheNodesBreaks() {
+    StatementRequest request =
+        new StatementRequest(new StatementId("t"), "WRITE x y", new Statement.Write());
+    service.start(origin.table, request, StatementPlan.PRIMARY_TRANSACTION);
+    service.pass(100);
+    nodes.values().forEach(node -> node.server.linkLost(origin.name));
+    service.pass(100);
+    assertEquals(service.count(ScriptedService.PRIMARY, MemberCommand.RollBack.class), 1);
+  }
+}
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -10,6 +10,7 @@
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberLink;
 import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.MemberRelay;
 import org.streamcourse.process.LineBudget;
 import org.streamcourse.process.SchedulerWorker;
 import org.streamcourse.process.Worker;
@@ -22,6 +23,8 @@
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.NodeImage;
+import org.streamcourse.version.image.Place;
 import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.RouteConsistency;
 import org.streamcourse.version.image.RouteRule;
@@ -39,6 +42,7 @@
   static final String PRIMARY = "i-1";
   static final String FIRST_REPLICA = "i-2";
   static final String SECOND_REPLICA = "i-3";
+  static final List<String> MEMBERS = List.of(PRIMARY, FIRST_REPLICA, SECOND_REPLICA);
   static final long FIRST_WORK_MILLIS = 20;
   static final int CONNECTIONS = 11;
   static final TermPosition PRIMARY_POSITION = new TermPosition(1, 100);
@@ -50,9 +54,10 @@
 
   final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
   final Worker worker = SchedulerWorker.onSchedulerClock(clock);
-  final MemberTable table = new MemberTable(worker, this, "z");
+  final MemberTable table = new MemberTable(worker, this, MemberRelay.NONE, node(1));
   final Map<String, List<MemberCommand>> commands = new TreeMap<>();
   final List<Answer> answers = new ArrayList<>();
+  final List<MemberLink> opened = new ArrayList<>();
   long workMillis = FIRST_WORK_MILLIS;
   private final Map<Integer, String> ports =
       Map.of(1, PRIMARY, 2, FIRST_REPLICA, 3, SECOND_REPLICA);
@@ -63,6 +68,12 @@
     pass(50);
   }
 
+  /** A node of the fleet; all are in the members' zone. */
+  static NodeImage node(int number) {
+    String host = "10.0.1." + number;
+    return new NodeImage(host + ":1", 1, host, 1, new Place("r", "z"), false);
+  }
+
   /** All members are gone. */
   void loseThePrimary() {
     table.update(withoutMembers());
@@ -84,6 +95,15 @@
     return ClusterImage.EMPTY.apply(new ClusterChange.DocumentReplaced(document));
   }
 
+  /** An image with the members and some nodes. */
+  static ClusterImage image(int nodes) {
+    ClusterImage image = image();
+    for (int number = 1; number <= nodes; number++) {
+      image = image.apply(new ClusterChange.NodeAdmitted(node(number)));
+    }
+    return image;
+  }
+
   private static ClusterImage image() {
     ClusterImage image = withoutMembers();
     for (int port = 1; port <= 3; port++) {
@@ -118,6 +138,11 @@
   }
 
   private void start(StatementRequest request, StatementPlan plan) {
+    start(table, request, plan);
+  }
+
+  /** Starts a statement at a node with another table. */
+  void start(MemberTable ofNode, StatementRequest request, StatementPlan plan) {
     StatementContext context =
         new StatementContext(
             request, route(RouteConsistency.SESSION), null, Map.of(), TermPosition.ZERO, "");
@@ -130,10 +155,10 @@
 
           @Override
           public void transactionOpened(MemberLinks links, MemberLink link) {
-            throw new AssertionError("no transaction was asked for");
+            opened.add(link);
           }
         };
-    new StatementExecution(worker, table, log, context, plan, listener).start();
+    new StatementExecution(worker, ofNode, log, context, plan, listener).start();
   }
 
   long count(String member, Class<? extends MemberCommand> kind) {
