Silence after a message that needs no answer no longer counts as a stuck link

Cause: nodes that hold connections for others, and have others' statements themselves, write answers and requests on the same link.

Ruled out: the holders (they ran the statement right after), the members (no refusal).

Change: answers are one-way messages and start no clock. A link that only carries answers could then stay stuck after a cut, so a peer that opens another link also gets another one back.

Tests: LinkTest, two cases, both seen failing on the code before.

--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -11,6 +11,7 @@
 import org.streamcourse.connection.peer.PeerAddress;
 import org.streamcourse.connection.peer.PeerHandler;
 import org.streamcourse.connection.peer.TcpPeerNetwork;
+import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.lab.relay.Relay;
 import org.streamcourse.process.FleetKey;
 import org.streamcourse.process.settings.HostPort;
@@ -22,6 +23,7 @@
 /** The loss of a link is told once, not again with the first message to the peer's next run. */
 public class LinkTest {
   private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final Duration SILENCE = Duration.ofMillis(300);
   private static final String HOST = "127.0.0.1";
 
   /** Counts what a process hears from its links. */
@@ -111,6 +113,45 @@
     loops.dispose();
   }
 
+  @Test
+  public void silenceAfterAMessageThatNeedsNoAnswerIsBorne() throws Exception {
+    LoopResources loops = LoopResources.create("one-way-test", 2, true);
+    int portOfHolder = freePort();
+    int portOfSender = freePort();
+    Counts holder = new Counts();
+    Counts sender = new Counts();
+    TcpPeerNetwork holderNetwork = impatientNetwork("holder", loops, portOfSender);
+    holderNetwork.start(HOST, portOfHolder, holder);
+    impatientNetwork("sender", loops, portOfHolder).start(HOST, portOfSender, sender);
+    holderNetwork.send("sender", new RelayMessage.Pong());
+    await().atMost(PATIENCE).until(() -> sender.received.get() == 1);
+    holderNetwork.send("sender", new RelayMessage.Pong());
+    await().pollDelay(SILENCE.multipliedBy(2)).atMost(PATIENCE).until(() -> true);
+    holderNetwork.send("sender", new RelayMessage.Pong());
+    await().atMost(PATIENCE).until(() -> sender.received.get() == 3);
+    assertEquals(holder.lost.get(), 0, "links lost");
+    loops.dispose();
+  }
+
+  @Test
+  public void aPeerThatOpensAnotherLinkGetsAnotherBack() throws Exception {
+    LoopResources loops = LoopResources.create("again-test", 2, true);
+    int portOfHolder = freePort();
+    int portOfSender = freePort();
+    Counts holder = new Counts();
+    Counts sender = new Counts();
+    TcpPeerNetwork holderNetwork = impatientNetwork("holder", loops, portOfSender);
+    holderNetwork.start(HOST, portOfHolder, holder);
+    TcpPeerNetwork senderNetwork = impatientNetwork("sender", loops, portOfHolder);
+    senderNetwork.start(HOST, portOfSender, sender);
+    senderNetwork.send("holder", new RelayMessage.Ping());
+    holderNetwork.send("sender", new RelayMessage.Pong());
+    await().atMost(PATIENCE).until(() -> sender.received.get() == 1 && holder.received.get() == 1);
+    impatientNetwork("sender", loops, portOfHolder).send("holder", new RelayMessage.Ping());
+    await().atMost(PATIENCE).until(() -> holder.lost.get() == 1);
+    loops.dispose();
+  }
+
   private static TcpPeerNetwork impatientNetwork(String self, LoopResources loops, int peerPort) {
     return new TcpPeerNetwork(
         self,
@@ -118,6 +159,6 @@
         new FleetKey("key"),
         loops,
         peer -> new PeerAddress(HOST, peerPort),
-        Duration.ofMillis(300));
+        SILENCE);
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -52,6 +53,7 @@
   private final Function<String, PeerAddress> addresses;
   private final Duration silence;
   private final Map<String, Link> links = new ConcurrentHashMap<>();
+  private final Set<String> greeted = ConcurrentHashMap.newKeySet();
   private volatile boolean stopped;
   private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicLong receivedBytes = new AtomicLong();
@@ -156,7 +158,7 @@
     }
     byte[] bytes = FrameCompression.pack(codec.encode(message));
     sentBytes.addAndGet(bytes.length + LENGTH_BYTES);
-    links.computeIfAbsent(peer, Link::new).send(bytes);
+    links.computeIfAbsent(peer, Link::new).send(bytes, !(message instanceof OneWayMessage));
   }
 
   private void accept(Connection connection) {
@@ -165,6 +167,17 @@
     connection.channel().config().setAutoRead(true);
   }
 
+  /**
+   * A peer that opens another link took the one before for stuck, or has started again; the way to
+   * it may be as stuck.
+   */
+  private void accepted(String peer) {
+    Link link = links.get(peer);
+    if (!greeted.add(peer) && link != null) {
+      link.close();
+    }
+  }
+
   private void heard(String peer) {
     Link link = links.get(peer);
     if (link != null) {
@@ -196,6 +209,7 @@
       }
       if (message instanceof LinkHello hello && isFromFleet(hello)) {
         peer = hello.name();
+        accepted(peer);
       } else {
         LOG.warn("refuses a link from {}", context.channel().remoteAddress());
         context.close();
@@ -242,10 +256,10 @@
     }
 
     /** Drops a link on which the peer was written to and has been silent for long. */
-    private void dropWhenStuck() {
+    private void dropWhenStuck(boolean expectsAnswer) {
       long now = System.nanoTime();
       if (unansweredSinceNanos == 0) {
-        unansweredSinceNanos = now;
+        unansweredSinceNanos = expectsAnswer ? now : 0;
       } else if (now - unansweredSinceNanos > silence.toNanos()) {
         LOG.info("link to {} is silent; opens another", peer);
         unansweredSinceNanos = now;
@@ -253,9 +267,9 @@
       }
     }
 
-    synchronized void send(byte[] bytes) {
+    synchronized void send(byte[] bytes, boolean expectsAnswer) {
       if (channel != null && channel.isActive()) {
-        dropWhenStuck();
+        dropWhenStuck(expectsAnswer);
       }
       if (channel != null && channel.isActive()) {
         write(bytes);
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.peer.OneWayMessage;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.PreparedShape;
 import org.streamcourse.request.statement.StatementId;
@@ -90,7 +91,7 @@
    * @param stream number of the stream
    * @param answers whole answers, in order
    */
-  record Answered(long stream, List<Answer> answers) implements RelayMessage {}
+  record Answered(long stream, List<Answer> answers) implements RelayMessage, OneWayMessage {}
 
   /** Why no connection is given. */
   enum Refusal {
@@ -111,7 +112,7 @@
    * @param retryAfterMillis when there may be a connection
    */
   record Refused(long stream, Refusal refusal, String cause, long retryAfterMillis)
-      implements RelayMessage {}
+      implements RelayMessage, OneWayMessage {}
 
   /**
    * The stream has ended without an answer to what was asked last.
@@ -119,13 +120,13 @@
    * @param stream number of the stream
    * @param cause text for a person
    */
-  record Ended(long stream, String cause) implements RelayMessage {}
+  record Ended(long stream, String cause) implements RelayMessage, OneWayMessage {}
 
   /** Asks a holder that is silent for a sign of life. */
   record Ping() implements RelayMessage {}
 
   /** Answers a {@link Ping} at once. */
-  record Pong() implements RelayMessage {}
+  record Pong() implements RelayMessage, OneWayMessage {}
 
   /**
    * Tells which side of a relay the message is for.
