--- a/server/src/main/java/org/streamcourse/request/routing/LinkShares.java
+++ b/server/src/main/java/org/streamcourse/request/routing/LinkShares.java
@@ -28,8 +28,13 @@
   /** Links that each node must get for every node to hold some. */
   private static final int LEAST_LINKS_A_NODE = 1;
 
-  /** Nodes that hold a member's connections: one may be down and another be cut off. */
-  private static final int HOLDERS = 4;
+  /** Most nodes that hold a member's connections: one may be down and another be cut off. */
+  private static final int MOST_HOLDERS = 4;
+
+  /** Nodes of the member's region below which nodes of other regions hold connections too. */
+  private static final int LEAST_HOLDERS = 2;
+
+  private static final int OTHER_REGION = 2;
 
   /** Parts that are left free, for a holder that follows one whose links still end. */
   private static final int SPARE_PARTS = 1;
@@ -79,7 +84,7 @@
     }
     List<String> holders = holders(member);
     boolean holds = holders.contains(self);
-    int links = holds ? Math.max(1, usable / (HOLDERS + SPARE_PARTS)) : 0;
+    int links = holds ? Math.max(1, usable / (holders.size() + SPARE_PARTS)) : 0;
     return new LinkShare(links, inOrderOfThisNode(holders, member));
   }
 
@@ -91,7 +96,10 @@
       int distance = node.place().distanceTo(place);
       candidates.add(new Candidate(node.name(), distance, HASH.hashChars(key + node.name())));
     }
-    return candidates.stream().sorted(NEAREST_FIRST).limit(HOLDERS).map(Candidate::node).toList();
+    candidates.sort(NEAREST_FIRST);
+    long near = candidates.stream().filter(each -> each.distance() < OTHER_REGION).count();
+    long most = near < LEAST_HOLDERS ? MOST_HOLDERS : Math.min(near, MOST_HOLDERS);
+    return candidates.stream().limit(most).map(Candidate::node).toList();
   }
 
   /** Each node has an order of its own, so that all holders get their part of the work. */
