Requests wait while a member has no room for connections; links are not replaced for ever

Now such requests wait for a link within their usual bound, the member is tried each 200 ms, and a node near the member is asked meanwhile. Tests: LinkQueueTest, RelayTest, seen failing.

A link that is young stays now. LinkTest plays 20 exchanges after a restart.

--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -24,6 +25,7 @@
 public class LinkTest {
   private static final Duration PATIENCE = Duration.ofSeconds(60);
   private static final Duration SILENCE = Duration.ofMillis(300);
+  private static final int EXCHANGES = 20;
   private static final String HOST = "127.0.0.1";
 
   /** Counts what a process hears from its links. */
@@ -147,8 +149,17 @@
     senderNetwork.send("holder", new RelayMessage.Ping());
     holderNetwork.send("sender", new RelayMessage.Pong());
     await().atMost(PATIENCE).until(() -> sender.received.get() == 1 && holder.received.get() == 1);
-    impatientNetwork("sender", loops, portOfHolder).send("holder", new RelayMessage.Ping());
+    await().pollDelay(SILENCE.multipliedBy(2)).atMost(PATIENCE).until(() -> true);
+    TcpPeerNetwork restarted = impatientNetwork("sender", loops, portOfHolder);
+    restarted.send("holder", new RelayMessage.Ping());
     await().atMost(PATIENCE).until(() -> holder.lost.get() == 1);
+    for (int i = 0; i < EXCHANGES; i++) {
+      int before = holder.received.get();
+      holderNetwork.send("sender", new RelayMessage.Pong());
+      senderNetwork.send("holder", new RelayMessage.Ping());
+      await().atMost(PATIENCE).until(() -> holder.received.get() > before);
+    }
+    assertTrue(holder.lost.get() <= 2, "each side replaces its link once: " + holder.lost.get());
     loops.dispose();
   }
 
--- a/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
@@ -19,6 +19,15 @@
    */
   boolean needsPrimary();
 
+  /**
+   * Tells whether another node may be asked when this one gets no link.
+   *
+   * @return false for what another node has asked of this one
+   */
+  default boolean mayGoThroughOthers() {
+    return true;
+  }
+
   /**
    * Returns how long the request may wait.
    *
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -45,8 +45,11 @@
    */
   private static final long LEAVING_PRIMARY_MILLIS = 3_000;
 
-  /** Pause after the member accepted no more connections. */
-  private static final long FULL_PAUSE_MILLIS = 500;
+  /**
+   * Pause after the member accepted no more connections. Those of machines that lost power count
+   * there for some seconds, so it is tried often; each try is a new connection for the member.
+   */
+  private static final long FULL_PAUSE_MILLIS = 200;
 
   /**
    * Part of its longest wait that a request waits although it is not expected to get a link in that
@@ -246,7 +249,8 @@
       request.refused("the member takes no new work", RETRY_MILLIS);
       return;
     }
-    if (!holdsLinks()) {
+    boolean others = request.mayGoThroughOthers() && !share.holders().isEmpty();
+    if (!holdsLinks() || (hasNone() && others)) {
       acquireByRelay(request);
       return;
     }
@@ -255,11 +259,19 @@
       grant(request, link);
       return;
     }
+    waitForLink(request);
+  }
+
+  /** No link stands, and the member has just refused one. */
+  private boolean hasNone() {
+    return links.isEmpty() && worker.now() < noDialBeforeMillis;
+  }
+
+  private void waitForLink(LinkRequest request) {
     long estimate = estimatedWaitMillis();
-    boolean canOpen = links.size() < share.links() && worker.now() >= noDialBeforeMillis;
-    boolean hasNone = links.isEmpty() && !canOpen;
-    if (hasNone || waiting.size() >= MOST_WAITING_A_LINK * share.links()) {
-      request.refused("all connections of this node are in use", Math.max(estimate, 1));
+    if (waiting.size() >= MOST_WAITING_A_LINK * share.links()) {
+      long pause = Math.max(0, noDialBeforeMillis - worker.now());
+      request.refused("all connections of this node are in use", Math.max(estimate, pause + 1));
       return;
     }
     long longest = request.maxWaitMillis();
@@ -273,6 +285,10 @@
     MemberRelay.Target target = new MemberRelay.Target(service, member.id(), share.holders());
     MemberChannel channel =
         relay.open(target, request, link, () -> noRelayBeforeMillis = worker.now() + RETRY_MILLIS);
+    if (channel == null && holdsLinks()) {
+      waitForLink(request);
+      return;
+    }
     if (channel == null) {
       noRelayBeforeMillis = worker.now() + RETRY_MILLIS;
       request.refused("no node that holds connections to the member answers", RETRY_MILLIS);
@@ -282,7 +298,7 @@
     grant(request, link);
   }
 
-  /** This node may have no links any more: those who wait for one ask other nodes. */
+  /** This node may have no links, or gets none now: those who wait for one ask other nodes. */
   private void relayWaiting() {
     waiting.takeAll().forEach(this::acquire);
   }
@@ -428,7 +444,9 @@
     if (links.isEmpty() && holdsLinks() && !unreachable && !retired && !member.draining()) {
       dial();
     }
-    if (links.isEmpty()) {
+    if (links.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
+      relayWaiting();
+    } else if (links.isEmpty()) {
       refuseWaiting(cause);
     }
   }
@@ -466,6 +484,7 @@
       }
       return;
     }
+    dialForWaiting();
     long asked =
         links.stream().mapToLong(MemberLink::oldestUnansweredMillis).min().orElse(Long.MAX_VALUE);
     boolean silent =
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -169,12 +169,12 @@
 
   /**
    * A peer that opens another link took the one before for stuck, or has started again; the way to
-   * it may be as stuck.
+   * it may be as stuck. The peer gets the same news of the next link, which is new then and stays.
    */
   private void accepted(String peer) {
     Link link = links.get(peer);
     if (!greeted.add(peer) && link != null) {
-      link.close();
+      link.closeOlderThan(silence);
     }
   }
 
@@ -367,6 +367,12 @@
       return true;
     }
 
+    synchronized void closeOlderThan(Duration age) {
+      if (System.nanoTime() - lastDialNanos > age.toNanos()) {
+        close();
+      }
+    }
+
     synchronized void close() {
       if (channel != null) {
         channel.close();
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -67,6 +67,11 @@
     return open.needsPrimary();
   }
 
+  @Override
+  public boolean mayGoThroughOthers() {
+    return false;
+  }
+
   @Override
   public long maxWaitMillis() {
     return open.maxWaitMillis();
--- a/server/src/main/java/org/streamcourse/request/routing/LinkShares.java
+++ b/server/src/main/java/org/streamcourse/request/routing/LinkShares.java
@@ -79,10 +79,10 @@
             .orElse(DEFAULT_CONNECTIONS);
     int usable = limit - RESERVED_CONNECTIONS;
     int nodes = Math.max(1, image.nodes().size());
+    List<String> holders = holders(member);
     if (usable / nodes >= LEAST_LINKS_A_NODE) {
-      return LinkShare.ofEveryNode(usable / nodes);
+      return new LinkShare(usable / nodes, inOrderOfThisNode(holders, member));
     }
-    List<String> holders = holders(member);
     boolean holds = holders.contains(self);
     int links = holds ? Math.max(1, usable / (holders.size() + SPARE_PARTS)) : 0;
     return new LinkShare(links, inOrderOfThisNode(holders, member));
--- a/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
@@ -75,4 +75,20 @@
     service.pass(100);
     assertEquals(service.completed(), 1);
   }
+
+  @Test
+  public void whileTheMemberTakesNoConnectionsRequestsWaitForOne() {
+    ScriptedService service = new ScriptedService();
+    service.loseThePrimary();
+    service.full = true;
+    service.worker.repeat(100, service.table::checkHealth);
+    service.agreeOnThePrimary();
+    service.pass(50);
+    service.write("w");
+    service.pass(250);
+    assertEquals(service.answers.size(), 0, "the member may have room soon");
+    service.full = false;
+    service.pass(300);
+    assertEquals(service.completed(), 1);
+  }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -17,7 +18,10 @@
 import org.streamcourse.request.statement.Statement;
 import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.request.statement.StatementRequest;
+import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.RoutingDocument;
+import org.streamcourse.version.image.SessionLimits;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -239,4 +243,26 @@
     service.pass(100);
     assertEquals(service.count(ScriptedService.PRIMARY, MemberCommand.RollBack.class), 1);
   }
+
+  @Test
+  public void aNodeThatGetsNoConnectionAsksAnother() {
+    Node holder = nodes.get(firstHolder(ScriptedService.PRIMARY));
+    String member = ScriptedService.PRIMARY;
+    holder.table.update(ScriptedService.image(NODES).apply(withoutMembers()));
+    service.full = true;
+    holder.table.update(ScriptedService.image(NODES));
+    service.pass(50);
+    StatementRequest request =
+        new StatementRequest(new StatementId("w"), "WRITE x y", new Statement.Write());
+    service.start(holder.table, request, StatementPlan.WRITE);
+    service.pass(100);
+    assertEquals(service.completed(), 1, "through another holder of " + member);
+    assertEquals(writesRun(), 1);
+  }
+
+  /** A document without routes, so that all links end. */
+  private static ClusterChange withoutMembers() {
+    return new ClusterChange.DocumentReplaced(
+        new RoutingDocument(2, List.of(), List.of(), SessionLimits.DEFAULT, ""));
+  }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -59,6 +59,10 @@
   final List<Answer> answers = new ArrayList<>();
   final List<MemberLink> opened = new ArrayList<>();
   long workMillis = FIRST_WORK_MILLIS;
+
+  /** Whether members take no more connections, as after a loss of power of all nodes. */
+  boolean full;
+
   private final Map<Integer, String> ports =
       Map.of(1, PRIMARY, 2, FIRST_REPLICA, 3, SECOND_REPLICA);
   private final RequestLog log = new RequestLog(new LineBudget(0, worker::now), 0);
@@ -199,6 +203,10 @@
       if (closed) {
         return;
       }
+      if (command instanceof MemberCommand.Introduce && full) {
+        listener.answered(Answer.error(AnswerCode.TOO_MANY_CONNECTIONS, member, state));
+        return;
+      }
       if (command instanceof MemberCommand.BeginTransaction begin) {
         if (!begin.readOnly() && !member.equals(PRIMARY)) {
           listener.answered(Answer.error(AnswerCode.READ_ONLY, member, state));
