--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -112,22 +112,24 @@
   public void start() {
     startedMillis = worker.now();
     lastAnswerMillis = startedMillis;
-    for (int i = 1; i < controllers.size(); i++) {
-      // All of them once: some may not be up yet, and any may know what is agreed.
-      heartbeat();
-      controllerIndex = (controllerIndex + 1) % controllers.size();
-    }
     firstHeartbeats();
     timer = worker.repeat(settings.heartbeatMillis(), this::heartbeat);
   }
 
-  /** Asks one controller after the other, often, until the leader has confirmed this start. */
+  /**
+   * Asks often until the leader has confirmed this start: all controllers while there is no image,
+   * since any of them may know one and which of them is up first is not known, and then one after
+   * the other.
+   */
   private void firstHeartbeats() {
     if (everConfirmed) {
       return;
     }
-    heartbeat();
-    controllerIndex = (controllerIndex + 1) % controllers.size();
+    int asked = image.version() == 0 ? controllers.size() : 1;
+    for (int i = 0; i < asked; i++) {
+      heartbeat();
+      controllerIndex = (controllerIndex + 1) % controllers.size();
+    }
     worker.schedule(FIRST_HEARTBEATS_MILLIS, this::firstHeartbeats);
   }
 
