Decision lines and metrics of relays; the wait for an image as a class of its own

A statement that asks another holder, and one that a holder gives no connection, are told in one bounded line each, with id, holder, member and cause; counters beside them.

--- a/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
@@ -42,6 +42,14 @@
    */
   Map<String, String> sessionValues();
 
+  /**
+   * A node that holds connections gave none, and the next one is asked.
+   *
+   * @param holder name of the node
+   * @param cause why
+   */
+  default void asksAnotherHolder(String holder, String cause) {}
+
   /**
    * Hands a link out; it must be given back with {@link MemberLinks#release}, also when it ended.
    *
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -186,7 +186,7 @@
   }
 
   void refused(RelayMessage.Refused refused) {
-    if (!asksNext()) {
+    if (!asksNext(refused.cause())) {
       boolean unusable = refused.refusal() != RelayMessage.Refusal.BUSY;
       notRun(unusable, refused.cause(), refused.retryAfterMillis());
     }
@@ -196,15 +196,16 @@
   void notDelivered(String cause) {
     if (answeredOnce) {
       lost(cause);
-    } else if (!asksNext()) {
+    } else if (!asksNext(cause)) {
       notRun(true, cause, 0);
     }
   }
 
-  private boolean asksNext() {
+  private boolean asksNext(String cause) {
     if (answeredOnce || holderIndex + 1 >= holders.size() || remainingWaitMillis() <= 0) {
       return false;
     }
+    request.asksAnotherHolder(holder(), cause);
     holderIndex++;
     sentMillis = client.now();
     sendOpen();
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
@@ -66,7 +66,20 @@
       long maxWaitMillis,
       Map<String, String> values,
       List<Step> steps)
-      implements RelayMessage {}
+      implements RelayMessage {
+    /** Identity of the first caller's statement, or null when only a transaction is begun. */
+    StatementId firstStatement() {
+      for (Step step : steps) {
+        if (step instanceof ExecuteShape execute) {
+          return execute.id();
+        }
+        if (step instanceof Direct direct && direct.command() instanceof MemberCommand.Run run) {
+          return run.id();
+        }
+      }
+      return null;
+    }
+  }
 
   /**
    * Goes on with a transaction.
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -12,6 +12,7 @@
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.peer.PeerNetwork;
 import org.streamcourse.process.Worker;
+import org.streamcourse.request.routing.RequestLog;
 import org.streamcourse.version.image.MemberId;
 
 /**
@@ -33,6 +34,7 @@
   private final PeerNetwork network;
   private final BiFunction<String, MemberId, MemberLinks> links;
   private final LongSupplier longestRestMillis;
+  private final RequestLog log;
   private final Map<String, Map<Long, RelayedWork>> streams = new TreeMap<>();
   private boolean stopping;
 
@@ -43,16 +45,19 @@
    * @param network way to the other nodes
    * @param links finds this node's links to a member of a service; null when it holds none
    * @param longestRestMillis time that a transaction may rest
+   * @param log tells what is decided about statements
    */
   public RelayServer(
       Worker worker,
       PeerNetwork network,
       BiFunction<String, MemberId, MemberLinks> links,
-      LongSupplier longestRestMillis) {
+      LongSupplier longestRestMillis,
+      RequestLog log) {
     this.worker = worker;
     this.network = network;
     this.links = links;
     this.longestRestMillis = longestRestMillis;
+    this.log = log;
   }
 
   /** Takes no new streams from now on; senders go to other holders. */
@@ -110,6 +115,17 @@
     held.acquire(work);
   }
 
+  /** Tells that the member was asked nothing. */
+  void refuse(
+      String sender,
+      RelayMessage.Open open,
+      RelayMessage.Refusal refusal,
+      String cause,
+      long retryAfterMillis) {
+    log.refusedForOther(open.firstStatement(), sender, open.member(), cause);
+    send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis));
+  }
+
   private RelayedWork find(String sender, long stream) {
     return streams.getOrDefault(sender, Map.of()).get(stream);
   }
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -21,6 +21,16 @@
     endpoint.gauge("streamcourse_sessions", "Open sessions of callers.", node::openSessions);
     endpoint.gauge("streamcourse_image_version", "Version in force.", () -> node.image().version());
     endpoint.gauge("streamcourse_reroutes", "Times another member was tried.", log::reroutes);
+    endpoint.gauge(
+        "streamcourse_relayed_streams",
+        "Other nodes' statements and transactions on this node's links.",
+        node::relayedStreams);
+    endpoint.gauge(
+        "streamcourse_other_holders", "Times another holder was asked.", log::otherHolders);
+    endpoint.gauge(
+        "streamcourse_refused_for_others",
+        "Other nodes' statements that got no connection here.",
+        log::refusedForOthers);
     endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
     for (AnswerCode code : AnswerCode.values()) {
       String outcome = code.name().toLowerCase(Locale.ROOT);
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -77,7 +77,7 @@
     this.log = log;
     this.relayClient = new RelayClient(worker, network);
     this.table = new MemberTable(worker, dialer, relayClient, self);
-    this.relayServer = new RelayServer(worker, network, table::held, this::longestRestMillis);
+    this.relayServer = new RelayServer(worker, network, table::held, this::longestRestMillis, log);
     this.agent =
         new NodeAgent(
             worker, network, new MemoryDisk(), codec, ControlSettings.DEFAULT, controllers, self);
--- a/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
@@ -9,6 +9,7 @@
 import org.streamcourse.process.LineBudget;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.AnswerCode;
+import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.version.image.MemberId;
 
 /**
@@ -26,6 +27,8 @@
   private final Map<AnswerCode, Long> outcomes = new EnumMap<>(AnswerCode.class);
   private StatementObserver observer = StatementObserver.NONE;
   private long reroutes;
+  private long otherHolders;
+  private long refusedForOthers;
 
   /**
    * Creates a log.
@@ -95,6 +98,38 @@
     }
   }
 
+  /** A holder of connections did not run a statement, and another holder is asked. */
+  void asksAnotherHolder(StatementContext context, String holder, String cause) {
+    otherHolders++;
+    if (budget.take()) {
+      LOG.info(
+          "statement asks another holder {} {} {}",
+          keyValue("request", context.traceId()),
+          keyValue("holder", holder),
+          keyValue("cause", cause));
+    }
+  }
+
+  /**
+   * This node holds connections and gives none for another node's statement; nothing was run.
+   *
+   * @param statement the first statement of the stream, or null when there is none yet
+   * @param sender node that has the statement
+   * @param member member that was to run it
+   * @param cause why
+   */
+  public void refusedForOther(StatementId statement, String sender, MemberId member, String cause) {
+    refusedForOthers++;
+    if (budget.take()) {
+      LOG.info(
+          "relayed statement not run {} {} {} {}",
+          keyValue("request", statement),
+          keyValue("sender", sender),
+          keyValue("member", member),
+          keyValue("cause", cause));
+    }
+  }
+
   /** This node gives a statement up. */
   void refused(
       StatementContext context,
@@ -148,6 +183,24 @@
     return outcomes.getOrDefault(code, 0L);
   }
 
+  /**
+   * Counts the times that another holder of connections was asked.
+   *
+   * @return count since the start
+   */
+  public long otherHolders() {
+    return otherHolders;
+  }
+
+  /**
+   * Counts other nodes' statements for which this node gave no connection.
+   *
+   * @return count since the start
+   */
+  public long refusedForOthers() {
+    return refusedForOthers;
+  }
+
   /**
    * Counts the times that another member was looked for.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -43,9 +43,6 @@
     DONE
   }
 
-  /** Pause before the primary is asked again after it refused. */
-  private static final long PRIMARY_PAUSE_MILLIS = 40;
-
   /** Part of a route's target latency that a statement may wait for one connection. */
   private static final double WAIT_SHARE = 0.5;
 
@@ -62,7 +59,7 @@
   private final long startedMillis;
   private final long deadlineMillis;
   private final Set<MemberId> tried = new HashSet<>();
-  private final Runnable wake = this::wakeUp;
+  private final ImageWait imageWait;
   private StatementPlan plan;
   private Phase phase = Phase.WAITING;
   private ServiceMembers members;
@@ -74,7 +71,6 @@
   private boolean askedForFloor;
   private String lastCause = "no member is known";
   private Disposable timeout = () -> {};
-  private Disposable pause = () -> {};
 
   /**
    * Creates an execution.
@@ -99,6 +95,7 @@
     this.context = context;
     this.plan = plan;
     this.listener = listener;
+    this.imageWait = new ImageWait(worker, table, this::attempt);
     this.startedMillis = worker.now();
     this.deadlineMillis =
         startedMillis + Math.max(1, context.route().timeoutMillis() - ANSWER_MILLIS);
@@ -175,16 +172,7 @@
     lastCause = cause;
     phase = Phase.WAITING;
     turn++;
-    table.onChange(wake);
-    pause = worker.schedule(PRIMARY_PAUSE_MILLIS, wake);
-  }
-
-  private void wakeUp() {
-    if (phase == Phase.WAITING) {
-      table.forget(wake);
-      pause.dispose();
-      attempt();
-    }
+    imageWait.start();
   }
 
   private long longestWaitMillis() {
@@ -220,6 +208,11 @@
       return context.values();
     }
 
+    @Override
+    public void asksAnotherHolder(String holder, String cause) {
+      log.asksAnotherHolder(context, holder, cause);
+    }
+
     @Override
     public void granted(MemberLink granted) {
       if (phase != Phase.WAITING || turn != ofTurn) {
@@ -469,8 +462,7 @@
   private void end() {
     phase = Phase.DONE;
     timeout.dispose();
-    pause.dispose();
-    table.forget(wake);
+    imageWait.cancel();
   }
 
   /** Gives the link back, rolled back where this execution had begun a transaction. */
--- a/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
@@ -12,6 +12,7 @@
 import org.streamcourse.connection.relay.RelayClient;
 import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.connection.relay.RelayServer;
+import org.streamcourse.process.LineBudget;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.request.statement.AnswerCode;
@@ -51,7 +52,8 @@
               service.worker,
               (peer, message) -> carry(name, peer, message),
               table::held,
-              () -> REST_MILLIS);
+              () -> REST_MILLIS,
+              new RequestLog(new LineBudget(0, service.worker::now), 0));
       table.update(ScriptedService.image(NODES));
       service.worker.repeat(
           100,
