--- a/server/src/test/java/org/streamcourse/request/routing/RelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -31,7 +31,7 @@
  * Statements of a node without connections of its own, brought to members through other nodes. The
  * fleet has more nodes than the members accept connections.
  */
-public class RelayTest {
+public class StatementRelayTest {
   private static final int NODES = ScriptedService.CONNECTIONS + 5;
   private static final long WAY_MILLIS = 5;
   private static final long REST_MILLIS = 3_000;
@@ -86,7 +86,7 @@
       nodes.put(node.name, node);
     }
     service.pass(50);
-    origin = nodes.values().stream().filter(RelayTest::holdsNothing).findFirst().orElseThrow();
+    origin = nodes.values().stream().filter(StatementRelayTest::holdsNothing).findFirst().orElseThrow();
   }
 
   private static boolean holdsNothing(Node node) {
