--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -86,7 +86,8 @@
       nodes.put(node.name, node);
     }
     service.pass(50);
-    origin = nodes.values().stream().filter(StatementRelayTest::holdsNothing).findFirst().orElseThrow();
+    origin =
+        nodes.values().stream().filter(StatementRelayTest::holdsNothing).findFirst().orElseThrow();
   }
 
   private static boolean holdsNothing(Node node) {
