Relayed streams of a node's next run have other numbers

Cause, found by reading: a node that loses power and starts again numbered its streams from 1 again, under the same name, and a holder that had heard of no broken link yet could answer a stream of the former run, which the new run took for its own: another caller's answer. Ruled out as a guard: the end of the old link, which a machine without power never tells. Change: a run's numbers start at a random place. Test: StatementRelayTest, a restart while a statement works, seen failing with equal numbers (signed former in place of signed present).

--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
@@ -169,7 +169,14 @@
   protected StatementProxyNode newProxyNode(
       SimHost host, NodeImage self, MemberDialer dialer, RequestLog log) {
     return new StatementProxyNode(
-        host.worker(), network.networkOf(host), World.CODEC, World.CONTROLLERS, self, dialer, log);
+        host.worker(),
+        network.networkOf(host),
+        World.CODEC,
+        World.CONTROLLERS,
+        self,
+        dialer,
+        log,
+        (long) host.run() << Integer.SIZE);
   }
 
   /** Fence that reaches the outside agent with an order. */
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -60,10 +60,13 @@
    *
    * @param worker the proxy's worker
    * @param network way to the holders
+   * @param lastStream number below those of this run's streams; far from those of other runs of
+   *     this node, whose late answers must not be taken for answers to this run
    */
-  public RelayClient(Worker worker, PeerNetwork network) {
+  public RelayClient(Worker worker, PeerNetwork network, long lastStream) {
     this.worker = worker;
     this.network = network;
+    this.numbers = lastStream;
   }
 
   @Override
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -64,6 +64,8 @@
    * @param self this node
    * @param dialer opens connections to members
    * @param log tells what is decided about statements
+   * @param lastStream number below those of this run's relayed streams, far from those of other
+   *     runs
    */
   public StatementProxyNode(
       Worker worker,
@@ -72,10 +74,11 @@
       List<String> controllers,
       NodeImage self,
       MemberDialer dialer,
-      RequestLog log) {
+      RequestLog log,
+      long lastStream) {
     this.worker = worker;
     this.log = log;
-    this.relayClient = new RelayClient(worker, network);
+    this.relayClient = new RelayClient(worker, network, lastStream);
     this.table = new MemberTable(worker, dialer, relayClient, self);
     this.relayServer = new RelayServer(worker, network, table::held, this::longestRestMillis, log);
     this.agent =
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -1,5 +1,6 @@
 package org.streamcourse.process;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,9 @@
    */
   private static final long ONLY_INCARNATION = 1;
 
+  /** Bits of a stream's number that are left for counting the streams of one run. */
+  private static final int STREAM_BITS = 8;
+
   /** Time between looks at what is still open during a stop. */
   private static final long STOP_POLL_MILLIS = 50;
 
@@ -84,7 +88,8 @@
             ControllerAddresses.names(settings.controllerSeeds(), settings.controllerLinkPort()),
             self,
             new TcpMemberDialer(loop.group(), memberProtocol),
-            log);
+            log,
+            new SecureRandom().nextLong() >>> STREAM_BITS);
     port = new SessionPort(sessionProtocol, node::open);
     metrics = settings.metrics() == null ? null : metrics(log);
   }
--- a/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
+++ b/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
@@ -46,7 +46,8 @@
         List.of("10.0.0.1:1"),
         new NodeImage("10.0.0.2:1", 1, "10.0.0.2", 1, new Place("r", "z"), false),
         (host, port, listener) -> {},
-        new RequestLog(new LineBudget(1, worker::now), 0));
+        new RequestLog(new LineBudget(1, worker::now), 0),
+        0);
   }
 
   @Test
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -217,7 +217,11 @@
         state = SessionState.IDLE;
       }
       listener.answered(
-          new Answer(List.of(), AnswerCode.COMPLETE, "signature", state, PRIMARY_POSITION));
+          new Answer(List.of(), AnswerCode.COMPLETE, signature(command), state, PRIMARY_POSITION));
+    }
+
+    private static String signature(MemberCommand command) {
+      return command instanceof MemberCommand.Run run ? "signed " + run.id() : "signature";
     }
 
     @Override
--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -40,13 +40,17 @@
   /** One node of the fleet. */
   private final class Node {
     private final String name;
+    private final int number;
     private final MemberTable table;
     private final RelayClient client;
     private final RelayServer server;
 
-    Node(int number) {
+    Node(int number, long lastStream) {
       name = ScriptedService.node(number).name();
-      client = new RelayClient(service.worker, (peer, message) -> carry(name, peer, message));
+      client =
+          new RelayClient(
+              service.worker, (peer, message) -> carry(name, peer, message), lastStream);
+      this.number = number;
       table = new MemberTable(service.worker, service, client, ScriptedService.node(number));
       server =
           new RelayServer(
@@ -82,7 +86,7 @@
     down.clear();
     service = new ScriptedService();
     for (int number = 1; number <= NODES; number++) {
-      Node node = new Node(number);
+      Node node = new Node(number, 0);
       nodes.put(node.name, node);
     }
     service.pass(50);
@@ -265,6 +269,20 @@
     assertEquals(writesRun(), 1);
   }
 
+  @Test
+  public void anAnswerToAFormerRunOfANodeIsNotTakenForAnAnswerToThisRun() {
+    service.workMillis = 100;
+    write("former");
+    service.pass(50);
+    origin = new Node(origin.number, 1L << Integer.SIZE);
+    nodes.put(origin.name, origin);
+    service.pass(20);
+    write("present");
+    service.pass(300);
+    assertEquals(service.answers.size(), 1);
+    assertEquals(service.answers.get(0).text(), "signed present");
+  }
+
   /** A document without routes, so that all links end. */
   private static ClusterChange withoutMembers() {
     return new ClusterChange.DocumentReplaced(
