--- a/server/src/main/java/org/streamcourse/connection/member/MemberChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberChannel.java
@@ -38,6 +38,15 @@
   /** Lets all commands sent so far leave. */
   void flush();
 
+  /**
+   * Tells whether the member may have run what was sent.
+   *
+   * @return false while it has certainly not arrived there
+   */
+  default boolean mayHaveRun() {
+    return true;
+  }
+
   /** Closes the connection; the member rolls back what is open on it. */
   void close();
 }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -242,6 +242,15 @@
     }
   }
 
+  /**
+   * Tells whether the member may have run what was sent last.
+   *
+   * @return false while it has certainly not arrived there
+   */
+  public boolean mayHaveRun() {
+    return channel != null && channel.mayHaveRun();
+  }
+
   /** Closes the link; commands without an answer are lost. */
   public void close() {
     close("closed by this node");
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -34,6 +34,7 @@
   private int holderIndex;
   private long stream;
   private boolean valuesChanged;
+  private boolean sent;
   private boolean answeredOnce;
   private boolean ended;
   private boolean finishing;
@@ -122,8 +123,21 @@
     return holders.get(holderIndex);
   }
 
+  /** Brings the work to the holder, at once if the holder has spoken before. */
   private void sendOpen() {
+    sent = false;
     stream = client.begin(holder(), this);
+    if (client.isEstablished(holder())) {
+      holderSpoke();
+    }
+  }
+
+  /** The holder is there. */
+  void holderSpoke() {
+    if (sent || ended) {
+      return;
+    }
+    sent = true;
     client.send(
         holder(),
         new RelayMessage.Open(
@@ -137,6 +151,11 @@
             open.steps()));
   }
 
+  @Override
+  public boolean mayHaveRun() {
+    return sent;
+  }
+
   /** All holders that are asked one after the other share the longest wait. */
   private long remainingWaitMillis() {
     return open.maxWaitMillis() - (client.now() - openedMillis);
@@ -150,6 +169,8 @@
     ended = true;
     if (open != null) {
       client.forget(holder(), stream);
+    }
+    if (sent) {
       client.send(holder(), new RelayMessage.Close(stream));
     }
   }
@@ -221,7 +242,9 @@
   }
 
   void lost(String cause) {
-    if (!ended) {
+    if (!ended && open != null && !sent) {
+      notDelivered(cause);
+    } else if (!ended) {
       ended = true;
       listener.closed(cause);
     }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -16,9 +16,10 @@
  * The side of a relay that has the callers' statements: asks holders of connections, and judges by
  * their answers which of them can be asked.
  *
- * <p>A holder that owes an answer and is silent gets a {@link RelayMessage.Ping}; one that does not
- * answer that either is suspected: what it was asked is lost, and others are asked instead until it
- * speaks again.
+ * <p>Nothing is brought to a holder before it has spoken: what waits for that has certainly not
+ * run. A holder that owes an answer and is silent gets a {@link RelayMessage.Ping}; one that does
+ * not answer that either is suspected: what it was asked is lost, and others are asked instead
+ * until it speaks again.
  *
  * <p>All methods run on the proxy's worker.
  */
@@ -45,6 +46,7 @@
     private final Map<Long, RelayChannel> streams = new HashMap<>();
     private long heardMillis;
     private long pingedMillis = NOT_PINGED;
+    private boolean established;
     private boolean suspected;
   }
 
@@ -106,6 +108,15 @@
     network.send(name, message);
   }
 
+  /** Whether a holder has spoken on its present link; asks it for a sign of life if it has not. */
+  boolean isEstablished(String name) {
+    Holder holder = holder(name);
+    if (!holder.established && holder.pingedMillis == NOT_PINGED) {
+      ping(name, holder);
+    }
+    return holder.established;
+  }
+
   void forget(String name, long stream) {
     holder(name).streams.remove(stream);
   }
@@ -130,6 +141,10 @@
       holder.suspected = false;
       LOG.info("relay through {} works again", name);
     }
+    if (!holder.established) {
+      holder.established = true;
+      List.copyOf(holder.streams.values()).forEach(RelayChannel::holderSpoke);
+    }
     if (message instanceof RelayMessage.Answered answered) {
       RelayChannel channel = holder.streams.get(answered.stream());
       if (channel != null) {
@@ -171,6 +186,7 @@
       return;
     }
     suspect(name, holder, "no link comes about");
+    holder.established = false;
     List<RelayChannel> unsent = List.copyOf(holder.streams.values());
     holder.streams.clear();
     unsent.forEach(channel -> channel.notDelivered("no link to " + name));
@@ -220,6 +236,8 @@
   }
 
   private static void loseStreams(Holder holder, String cause) {
+    holder.established = false;
+    holder.pingedMillis = holder.suspected ? holder.pingedMillis : NOT_PINGED;
     List<RelayChannel> lost = List.copyOf(holder.streams.values());
     holder.streams.clear();
     lost.forEach(channel -> channel.lost(cause));
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -437,10 +437,15 @@
         refuse(AnswerCode.BUSY, "the member did not begin in time", RETRY_AFTER_MILLIS);
       }
       case RUNNING -> {
+        boolean asked = link.mayHaveRun();
         dropLink();
         AnswerCode code =
             plan == StatementPlan.WRITE ? AnswerCode.OUTCOME_UNKNOWN : AnswerCode.TIMEOUT;
-        refuse(code, "the member did not answer in time", 0);
+        if (asked) {
+          refuse(code, "the member did not answer in time", 0);
+        } else {
+          refuse(AnswerCode.BUSY, "no holder of connections spoke in time", RETRY_AFTER_MILLIS);
+        }
       }
       case DONE -> {
         // The answer was given before.
