Reports of lost or overtaken heartbeats no longer hold up a change of primary

Cause: two faults that stood before, found with more proxies than connections (ServiceFailoverTest). Ruled out: the holders' detection, and who is counted (all four called it unreachable at once). Change: reports go along until a heartbeat that carried them is answered; a lower number within 300 ms is an overtaken one, later it is a new start.

--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -51,7 +51,8 @@
   private final List<Consumer<ClusterImage>> listeners = new CopyOnWriteArrayList<>();
   private final List<Runnable> confirmationListeners = new CopyOnWriteArrayList<>();
   private final Map<String, MemberReport> reports = new TreeMap<>();
-  private final Map<String, MemberReport> unsentReports = new TreeMap<>();
+  private final Map<String, MemberReport> unconfirmedReports = new TreeMap<>();
+  private final Map<String, Long> firstSentIn = new TreeMap<>();
   private final TreeMap<Long, Long> sentAt = new TreeMap<>();
   private volatile ClusterImage image;
   private volatile long lastConfirmedMillis;
@@ -242,7 +243,8 @@
     if (report.equals(reports.put(key, report))) {
       return;
     }
-    unsentReports.put(key, report);
+    unconfirmedReports.put(key, report);
+    firstSentIn.remove(key);
     if (urgent) {
       heartbeatSoon();
     }
@@ -256,7 +258,7 @@
    */
   public void withdrawReport(String group, String member) {
     if (reports.remove(group + '/' + member) != null) {
-      unsentReports.remove(group + '/' + member);
+      unconfirmedReports.remove(group + '/' + member);
       withdrawn = true;
     }
   }
@@ -311,6 +313,7 @@
       return;
     }
     sentAt.headMap(reply.sequence(), true).clear();
+    forgetConfirmedReports(reply.sequence());
     answered = true;
     lastAnswerMillis = worker.now();
     reportAll = reply.reportAll();
@@ -332,6 +335,14 @@
     }
   }
 
+  /** A heartbeat may be lost though one before it is answered, so its reports go along again. */
+  private void forgetConfirmedReports(long sequence) {
+    unconfirmedReports
+        .keySet()
+        .removeIf(key -> firstSentIn.getOrDefault(key, Long.MAX_VALUE) <= sequence);
+    firstSentIn.keySet().retainAll(unconfirmedReports.keySet());
+  }
+
   /** Tells the first confirmation, and one that comes after a long time without. */
   private void tellConfirmed(long sent) {
     if (!isConfirmed()) {
@@ -422,8 +433,8 @@
     if (sentAt.size() > KEPT_SENT_TIMES) {
       sentAt.pollFirstEntry();
     }
-    List<MemberReport> sent = new ArrayList<>(all ? reports.values() : unsentReports.values());
-    unsentReports.clear();
+    List<MemberReport> sent = new ArrayList<>(all ? reports.values() : unconfirmedReports.values());
+    unconfirmedReports.keySet().forEach(key -> firstSentIn.putIfAbsent(key, sequence));
     network.send(
         controllers.get(controllerIndex),
         new NodeHeartbeat(
--- a/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
@@ -22,6 +22,7 @@
     private long lastHeardMillis;
     private long version;
     private long heldVersion;
+    private long sequence;
     private boolean leaving;
     private int sessions;
     private boolean complete;
@@ -61,6 +62,13 @@
     }
   }
 
+  /**
+   * Time within which a heartbeat with a lower number was overtaken on its way; after a longer one
+   * the node has started again and counts anew. Above the way of a message, below a process's
+   * start.
+   */
+  private static final long OVERTAKEN_MILLIS = 300;
+
   private final Map<String, NodeState> states = new TreeMap<>();
 
   private static String key(String group, String member) {
@@ -85,7 +93,13 @@
       state.complete = false;
       state.incarnation = incarnation;
     }
+    boolean overtaken =
+        heartbeat.sequence() < state.sequence && now - state.lastHeardMillis < OVERTAKEN_MILLIS;
     state.lastHeardMillis = now;
+    if (overtaken) {
+      return true;
+    }
+    state.sequence = heartbeat.sequence();
     state.version = heartbeat.version();
     state.heldVersion = heartbeat.heldVersion();
     state.leaving = heartbeat.leaving();
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/version/control/NodeRegistryTest.java
@@ -0,0 +1,44 @@
+package org.streamcourse.version.control;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.streamcourse.version.control.ControlMessage.MemberReport;
+import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.image.NodeImage;
+import org.streamcourse.version.image.Place;
+import org.streamcourse.version.image.TermPosition;
+import org.testng.annotations.Test;
+
+/** What the leader believes of nodes whose heartbeats change their order, or that start again. */
+public class NodeRegistryTest {
+  private static final NodeImage NODE = new NodeImage("n:1", 1, "n", 1, new Place("r", "z"), false);
+
+  private static NodeHeartbeat heartbeat(long sequence, boolean reachable) {
+    MemberStatus status =
+        new MemberStatus(
+            1, MemberRole.REPLICA, "", TermPosition.ZERO, TermPosition.ZERO, TermPosition.ZERO);
+    MemberReport report = new MemberReport("s", "m", reachable, status);
+    return new NodeHeartbeat(NODE, sequence, 1, 0, false, 0, false, List.of(report));
+  }
+
+  private static int reachable(NodeRegistry registry, long now) {
+    return registry.opinionOf("s", "m", now, 1_500, 750, node -> true).reachable();
+  }
+
+  @Test
+  public void aHeartbeatThatWasOvertakenTellsNothing() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeat(46, false), 1_000, false);
+    registry.heard(heartbeat(45, true), 1_010, false);
+    assertEquals(reachable(registry, 1_020), 0);
+  }
+
+  @Test
+  public void aNodeThatHasStartedAgainCountsAnew() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeat(46, false), 1_000, false);
+    registry.heard(heartbeat(1, true), 1_700, false);
+    assertEquals(reachable(registry, 1_710), 1);
+  }
+}
