Who waits while a member takes no connections waits no longer than for a link

Found by reading the change: each refused connection let all that waited begin their wait anew, and a stream of another node could have been passed on a second time when its holder lost its part. Now only those who may ask other nodes are moved, and a node that holds nothing any more refuses streams. LinkQueueTest, seen failing (no answer after 510 of 500 ms).

--- a/server/src/main/java/org/streamcourse/connection/member/LinkQueue.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkQueue.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.streamcourse.process.Worker;
 
 /**
@@ -58,9 +59,14 @@
 
   /** Takes all requests, in no order. */
   List<LinkRequest> takeAll() {
-    List<LinkRequest> taken = waiting.stream().map(Waiter::request).toList();
-    waiting.clear();
-    return taken;
+    return takeIf(any -> true);
+  }
+
+  /** Takes the requests that a condition holds for, in no order; the others wait on. */
+  List<LinkRequest> takeIf(Predicate<LinkRequest> condition) {
+    List<Waiter> taken = waiting.stream().filter(each -> condition.test(each.request())).toList();
+    waiting.removeAll(taken);
+    return taken.stream().map(Waiter::request).toList();
   }
 
   int size() {
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -137,7 +137,7 @@
     }
     closeSpare();
     if (!holdsLinks()) {
-      relayWaiting();
+      waiting.takeAll().forEach(this::acquire);
     } else if (links.isEmpty() && !member.draining()) {
       dial();
     }
@@ -248,8 +248,11 @@
       request.refused("the member takes no new work", RETRY_MILLIS);
       return;
     }
-    boolean others = request.mayGoThroughOthers() && !share.holders().isEmpty();
-    if (!holdsLinks() || (hasNone() && others)) {
+    if (!holdsLinks() && !request.mayGoThroughOthers()) {
+      request.refused("this node holds no connections to the member any more", RETRY_MILLIS);
+      return;
+    }
+    if (!holdsLinks() || (hasNone() && mayAskOthers(request))) {
       acquireByRelay(request);
       return;
     }
@@ -266,6 +269,10 @@
     return links.isEmpty() && worker.now() < noDialBeforeMillis;
   }
 
+  private boolean mayAskOthers(LinkRequest request) {
+    return request.mayGoThroughOthers() && !share.holders().isEmpty();
+  }
+
   private void waitForLink(LinkRequest request) {
     long estimate = estimatedWaitMillis();
     if (waiting.size() >= MOST_WAITING_A_LINK * share.links()) {
@@ -297,11 +304,6 @@
     grant(request, link);
   }
 
-  /** This node may have no links, or gets none now: those who wait for one ask other nodes. */
-  private void relayWaiting() {
-    waiting.takeAll().forEach(this::acquire);
-  }
-
   private void grant(LinkRequest request, MemberLink link) {
     inUse.put(link, worker.now());
     request.granted(link);
@@ -430,7 +432,7 @@
       dial();
     }
     if (links.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
-      relayWaiting();
+      waiting.takeIf(this::mayAskOthers).forEach(this::acquire);
     } else if (links.isEmpty()) {
       refuseWaiting(cause);
     }
--- a/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
@@ -91,4 +91,18 @@
     service.pass(300);
     assertEquals(service.completed(), 1);
   }
+
+  @Test
+  public void whileTheMemberTakesNoConnectionsNobodyWaitsForLongerThanForALink() {
+    ScriptedService service = new ScriptedService();
+    service.loseThePrimary();
+    service.full = true;
+    service.worker.repeat(100, service.table::checkHealth);
+    service.agreeOnThePrimary();
+    service.pass(50);
+    service.write("w");
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 10);
+    assertEquals(service.answers.size(), 1);
+    assertEquals(service.answers.get(0).code(), AnswerCode.BUSY);
+  }
 }
