--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -1,8 +1,8 @@
 package org.streamcourse.process;
 
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -89,7 +89,7 @@
             self,
             new TcpMemberDialer(loop.group(), memberProtocol),
             log,
-            new SecureRandom().nextLong() >>> STREAM_BITS);
+            ThreadLocalRandom.current().nextLong() >>> STREAM_BITS);
     port = new SessionPort(sessionProtocol, node::open);
     metrics = settings.metrics() == null ? null : metrics(log);
   }
