--- a/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/LinkQueueTest.java
@@ -26,6 +26,17 @@
     return service;
   }
 
+  /** A service whose members refuse every connection until told otherwise. */
+  private static ScriptedService withoutRoomForConnections() {
+    ScriptedService service = new ScriptedService();
+    service.loseThePrimary();
+    service.full = true;
+    service.worker.repeat(100, service.table::checkHealth);
+    service.agreeOnThePrimary();
+    service.pass(50);
+    return service;
+  }
+
   private static void write(ScriptedService service, int count) {
     for (int i = 0; i < count; i++) {
       service.write("w" + i);
@@ -78,12 +89,7 @@
 
   @Test
   public void whileTheMemberTakesNoConnectionsRequestsWaitForOne() {
-    ScriptedService service = new ScriptedService();
-    service.loseThePrimary();
-    service.full = true;
-    service.worker.repeat(100, service.table::checkHealth);
-    service.agreeOnThePrimary();
-    service.pass(50);
+    ScriptedService service = withoutRoomForConnections();
     service.write("w");
     service.pass(250);
     assertEquals(service.answers.size(), 0, "the member may have room soon");
@@ -94,12 +100,7 @@
 
   @Test
   public void whileTheMemberTakesNoConnectionsNobodyWaitsForLongerThanForALink() {
-    ScriptedService service = new ScriptedService();
-    service.loseThePrimary();
-    service.full = true;
-    service.worker.repeat(100, service.table::checkHealth);
-    service.agreeOnThePrimary();
-    service.pass(50);
+    ScriptedService service = withoutRoomForConnections();
     service.write("w");
     service.pass(ScriptedService.TARGET_MILLIS / 2 + 10);
     assertEquals(service.answers.size(), 1);
