--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -41,6 +41,8 @@
   /** Holders that one unit of work is brought to, each only if the one before did not run it. */
   private static final int MOST_HOLDERS = 3;
 
+  private static final long NOT_PINGED = -1;
+
   /** What this node knows of one holder. */
   private static final class Holder {
     private final Map<Long, RelayChannel> streams = new HashMap<>();
@@ -50,8 +52,6 @@
     private boolean suspected;
   }
 
-  private static final long NOT_PINGED = -1;
-
   private final Worker worker;
   private final PeerNetwork network;
   private final Map<String, Holder> holders = new TreeMap<>();
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -30,8 +30,8 @@
    */
   private static final long ONLY_INCARNATION = 1;
 
-  /** Bits of a stream's number that are left for counting the streams of one run. */
-  private static final int STREAM_BITS = 8;
+  /** Bits dropped from a random first number, so that counting on from it never overflows. */
+  private static final int OVERFLOW_BITS = 8;
 
   /** Time between looks at what is still open during a stop. */
   private static final long STOP_POLL_MILLIS = 50;
@@ -89,7 +89,7 @@
             self,
             new TcpMemberDialer(loop.group(), memberProtocol),
             log,
-            ThreadLocalRandom.current().nextLong() >>> STREAM_BITS);
+            ThreadLocalRandom.current().nextLong() >>> OVERFLOW_BITS);
     port = new SessionPort(sessionProtocol, node::open);
     metrics = settings.metrics() == null ? null : metrics(log);
   }
