Proxies that start take their image from each other where no controller is reached

Change: a proxy without an image asks whoever speaks to it (ImageRequest, answered by StoredImage, which is taken only before the first confirmation, as from controllers). A proxy that the controllers have not confirmed for 3 s speaks to all proxies of its image in turn (NodeSurvey), so that those find it. Link version 4.

--- a/server/src/main/java/org/streamcourse/connection/peer/LinkMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/LinkMessage.java
@@ -3,7 +3,7 @@
 /** Messages of the links themselves. */
 public sealed interface LinkMessage {
   /** Version of the messages between processes; a link between different ones is refused. */
-  int PROTOCOL_VERSION = 3;
+  int PROTOCOL_VERSION = 4;
 
   /**
    * First message on a link.
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -117,6 +117,18 @@
     return holder.established;
   }
 
+  /**
+   * Asks a node for a sign of life, unless an answer is awaited already.
+   *
+   * @param name name of the node
+   */
+  public void askForSignOfLife(String name) {
+    Holder holder = holder(name);
+    if (holder.pingedMillis == NOT_PINGED) {
+      ping(name, holder);
+    }
+  }
+
   void forget(String name, long stream) {
     holder(name).streams.remove(stream);
   }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -7,6 +7,7 @@
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.peer.PeerHandler;
 import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.connection.relay.NodeSurvey;
 import org.streamcourse.connection.relay.RelayClient;
 import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.connection.relay.RelayServer;
@@ -30,9 +31,9 @@
  * and the simulator use this class.
  *
  * <p>It serves once the controllers have confirmed an image with a routing document, or one that
- * has just started too has told what it had stored. It goes on serving when it is cut off from
- * them: what a read must have seen is shown by the members themselves, and a replaced primary
- * refuses.
+ * has just started too, or another proxy, has told what it had stored. It goes on serving when it
+ * is cut off from them: what a read must have seen is shown by the members themselves, and a
+ * replaced primary refuses.
  *
  * <p>All methods but the queries run on the node's worker.
  */
@@ -48,6 +49,7 @@
   private final RequestLog log;
   private final RelayClient relayClient;
   private final RelayServer relayServer;
+  private final NodeSurvey survey;
   private final Set<ClientSession> sessions = new LinkedHashSet<>();
   private volatile boolean mayServe;
   private volatile boolean stopping;
@@ -80,6 +82,7 @@
     this.log = log;
     this.relayClient = new RelayClient(worker, network, lastStream);
     this.table = new MemberTable(worker, dialer, relayClient, self);
+    this.survey = new NodeSurvey(self.name(), relayClient::askForSignOfLife);
     this.relayServer = new RelayServer(worker, network, table::held, this::longestRestMillis, log);
     this.agent =
         new NodeAgent(
@@ -106,6 +109,9 @@
     table.checkHealth();
     relayClient.check();
     relayServer.check();
+    if (!agent.isConfirmed()) {
+      survey.takeTurn(image());
+    }
     reportAllMembers();
   }
 
@@ -244,7 +250,10 @@
   private void handle(String peer, Object message) {
     if (!(message instanceof RelayMessage relayed)) {
       agent.receive(peer, message);
-    } else if (relayed.isForHolder()) {
+      return;
+    }
+    agent.askForImage(peer);
+    if (relayed.isForHolder()) {
       relayServer.receive(peer, relayed);
     } else {
       relayClient.receive(peer, relayed);
--- a/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
@@ -125,6 +125,12 @@
    */
   record StoredImage(ClusterImage image) implements ControlMessage {}
 
+  /**
+   * A proxy that starts asks another one, which has just spoken to it, for the image in force
+   * there; answered with {@link StoredImage}.
+   */
+  record ImageRequest() implements ControlMessage {}
+
   /** What a gateway shall do with a member. */
   enum OrderKind {
     /** Make the member refuse everything of older terms. */
--- a/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
@@ -87,7 +87,8 @@
           ServiceCall.Result.class,
           ControlMessage.ForwardedCall.class,
           ControlMessage.ForwardedResult.class,
-          ControlMessage.StoredImage.class);
+          ControlMessage.StoredImage.class,
+          ControlMessage.ImageRequest.class);
 
   private ControlTypes() {}
 
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -17,6 +17,7 @@
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
 import org.streamcourse.version.control.ControlMessage.ImagePush;
+import org.streamcourse.version.control.ControlMessage.ImageRequest;
 import org.streamcourse.version.control.ControlMessage.LeaderHint;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
@@ -41,6 +42,9 @@
   private static final int SILENT_HEARTBEATS_BEFORE_NEXT = 2;
   private static final int KEPT_SENT_TIMES = 64;
 
+  /** Time between questions for an image: a way between regions and back, and its bytes. */
+  private static final long IMAGE_REQUEST_MILLIS = 150;
+
   private final Worker worker;
   private final PeerNetwork network;
   private final ImageStore store;
@@ -64,6 +68,7 @@
   private long sequence;
   private int controllerIndex;
   private long startedMillis;
+  private long lastImageRequestMillis = -IMAGE_REQUEST_MILLIS;
   private long lastAnswerMillis;
   private boolean answered;
   private boolean reportAll = true;
@@ -264,7 +269,7 @@
   }
 
   /**
-   * Handles a message from a controller.
+   * Handles a message from a controller, or a question or image from another node.
    *
    * @param controller name of the sender
    * @param message what arrived
@@ -277,8 +282,27 @@
     } else if (message instanceof LeaderHint hint) {
       onHint(hint);
     } else if (message instanceof StoredImage stored) {
-      onStoredImage(stored.image());
+      onStoredImage(controller, stored.image());
+    } else if (message instanceof ImageRequest && image.document().isPresent()) {
+      network.send(controller, new StoredImage(image));
+    }
+  }
+
+  /**
+   * Asks another node for its image while this one has none. Controllers may be out of reach where
+   * other nodes are not: without this, proxies that started behind a partition served nothing until
+   * it ended.
+   *
+   * @param node name of a node that has just spoken
+   */
+  public void askForImage(String node) {
+    long now = worker.now();
+    if (image.version() > 0 || now - lastImageRequestMillis < IMAGE_REQUEST_MILLIS) {
+      return;
     }
+    lastImageRequestMillis = now;
+    LOG.info("asks {} for its image, {} ms after the start", node, now - startedMillis);
+    network.send(node, new ImageRequest());
   }
 
   /**
@@ -363,12 +387,13 @@
   }
 
   /** Taken only before the first confirmation, which brings the same version or a newer one. */
-  private void onStoredImage(ClusterImage stored) {
+  private void onStoredImage(String source, ClusterImage stored) {
     if (everConfirmed || stored.version() <= image.version()) {
       return;
     }
     LOG.info(
-        "takes a stored image, version {}, document version {}, after {} ms",
+        "takes a stored image of {}, version {}, document version {}, after {} ms",
+        source,
         stored.version(),
         stored.document().version(),
         worker.now() - startedMillis);
