--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -111,7 +111,7 @@
   private void checkMembers() {
     table.checkHealth();
     relayClient.check();
-    if (!agent.isConfirmed()) {
+    if (agent.isCutOff()) {
       survey.takeTurn(image());
     }
   }
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -68,7 +68,7 @@
   private long heldVersion;
   private long sequence;
   private int controllerIndex;
-  private long startedMillis;
+  private volatile long startedMillis;
   private long lastImageRequestMillis = -IMAGE_REQUEST_MILLIS;
   private long lastAnswerMillis;
   private boolean answered;
@@ -188,6 +188,17 @@
     return everConfirmed && worker.now() - lastConfirmedMillis < settings.confirmationMillis();
   }
 
+  /**
+   * Tells whether the node has been without a confirmation for so long that the controllers seem to
+   * be out of reach; a node that has just started may still hear of them.
+   *
+   * @return true when it was neither started nor confirmed recently; safe from any thread
+   */
+  public boolean isCutOff() {
+    long since = everConfirmed ? lastConfirmedMillis : startedMillis;
+    return worker.now() - since >= settings.confirmationMillis();
+  }
+
   /**
    * Tells whether the node's parts of the members' limits are its own for sure: the controllers
    * give them to others only a while after this has become false.
