--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -293,10 +293,10 @@
   /**
    * Handles a message from a controller, or a question or image from another node.
    *
-   * @param controller name of the sender
+   * @param sender name of the sender
    * @param message what arrived
    */
-  public void receive(String controller, Object message) {
+  public void receive(String sender, Object message) {
     if (message instanceof HeartbeatReply reply) {
       onReply(reply);
     } else if (message instanceof ImagePush push) {
@@ -304,9 +304,9 @@
     } else if (message instanceof LeaderHint hint) {
       onHint(hint);
     } else if (message instanceof StoredImage stored) {
-      onStoredImage(controller, stored.image());
+      onStoredImage(sender, stored.image());
     } else if (message instanceof ImageRequest && image.document().isPresent()) {
-      network.send(controller, new StoredImage(image));
+      network.send(sender, new StoredImage(image));
     }
   }
 
