A former primary that may hold dropped records is not promoted; stale words after a partition do not count

A replica with 88 records was promoted; the former primary, cut off from it, kept 1:89 to 1:98. When the partition ended the 8 edges were admitted again and, as holders of the new image, called the new primary unreachable, as it had been from their side. 0.04 s after the last of them the leader ordered the former primary, whose place was the latest known among the others. Its dropped records were back, and every read between the two changes had run on a log without them.

Ruled out: that a promoted member had not applied what it had received (trial: it applies all at once, 1:45 to 1:88); that floors of two terms let a read through (the reads were guarded reads at the legitimate primary); that stand-ins or images from other nodes have a part in it.

Change: ServiceImage keeps former primaries with the term of their last record; MemberLogs.follows leaves them out as successors until they are known to follow. NodeRegistry does not count a node's word against a member in the first second after its return. The simulator's members keep their log while the new primary can't reach them, and a check "dropped-stays-dropped" was added. The decision line tells the places it was made from.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceChecks.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceChecks.java
@@ -62,6 +62,10 @@
     return outcomes.getOrDefault(code, 0L);
   }
 
+  long countEvents(String word) {
+    return events.stream().filter(text -> text.contains(word)).count();
+  }
+
   void event(String text) {
     events.add(clock.getAsLong() + " " + text);
   }
@@ -150,6 +154,12 @@
         entry.statement() + " was committed though " + refused.get(entry.statement()));
   }
 
+  /** A member leads with a log; what callers could not see since a former change stays away. */
+  void promoted(String member, List<LogEntry> log) {
+    List<LogEntry> back = log.stream().filter(dropped::contains).toList();
+    check("dropped-stays-dropped", back.isEmpty(), member + " leads with dropped writes " + back);
+  }
+
   void droppedByPromotion(List<LogEntry> entries, boolean synchronous) {
     dropped.addAll(entries);
     for (LogEntry entry : entries) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
@@ -154,9 +154,20 @@
         world.members().values().stream().mapToLong(SimServiceMember::term).max().orElse(0) + 1;
     target.lead(term);
     world.checks().event("promoted " + target.host().name() + " in term " + term);
+    world.checks().promoted(target.host().name(), target.received());
     world.members().values().stream()
         .filter(each -> each != target)
-        .forEach(each -> each.follow(target));
+        .forEach(each -> replaced(each, target));
+  }
+
+  /** A member that the new primary can't reach keeps its log until it hears from it. */
+  private void replaced(SimServiceMember member, SimServiceMember leader) {
+    world.checks().droppedByPromotion(member.notSharedWith(leader), world.isSynchronous());
+    if (world.network().isCut(leader.host().name(), member.host().name())) {
+      member.loseLead();
+    } else {
+      member.follow(leader);
+    }
   }
 
   void replicate(SimServiceMember from, int length) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
@@ -167,7 +167,9 @@
     if (primary || paused || from.term < term) {
       return;
     }
-    term = from.term;
+    if (from.term > term) {
+      follow(from);
+    }
     for (int i = received.size(); i < Math.min(length, from.received.size()); i++) {
       received.add(from.received.get(i));
     }
@@ -191,18 +193,31 @@
 
   /** Another member leads a newer term: what it does not have is dropped. */
   void follow(SimServiceMember leader) {
+    List<LogEntry> gone = notSharedWith(leader);
     primary = false;
     paused = false;
     term = leader.term;
+    received.subList(received.size() - gone.size(), received.size()).clear();
+    appliedCount = Math.min(appliedCount, received.size());
+    if (host.isUp()) {
+      tell();
+    }
+  }
+
+  /** The end of this log that another member's log does not have. */
+  List<LogEntry> notSharedWith(SimServiceMember leader) {
     int common = 0;
     while (common < Math.min(received.size(), leader.received.size())
         && received.get(common).equals(leader.received.get(common))) {
       common++;
     }
-    List<LogEntry> gone = new ArrayList<>(received.subList(common, received.size()));
-    world.checks().droppedByPromotion(gone, world.isSynchronous());
-    received.subList(common, received.size()).clear();
-    appliedCount = Math.min(appliedCount, common);
+    return new ArrayList<>(received.subList(common, received.size()));
+  }
+
+  /** Another member leads a newer term, and can't be reached yet. */
+  void loseLead() {
+    primary = false;
+    paused = false;
     if (host.isUp()) {
       tell();
     }
--- a/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
@@ -19,7 +19,8 @@
     private final Map<String, MemberReport> reports = new TreeMap<>();
     private final Set<String> news = new TreeSet<>();
     private long incarnation;
-    private long lastHeardMillis;
+    private long lastHeardMillis = NEVER;
+    private long backSinceMillis = NEVER;
     private long version;
     private long heldVersion;
     private long sequence;
@@ -69,7 +70,20 @@
    */
   private static final long OVERTAKEN_MILLIS = 300;
 
+  /** Silence after which a node that is heard again has come back; three heartbeats. */
+  private static final long AWAY_MILLIS = 1_500;
+
+  /**
+   * Time from a node's return in which its word that a member is unreachable does not count: it was
+   * formed on the other side of a partition. Above the 700 ms in which a node has tried the member
+   * again (300 ms between tries, 400 ms for a connection) and told of it.
+   */
+  private static final long SETTLING_MILLIS = 1_000;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final Map<String, NodeState> states = new TreeMap<>();
+  private long hearingSinceMillis = NEVER;
 
   private static String key(String group, String member) {
     return group + '/' + member;
@@ -95,6 +109,7 @@
     }
     boolean overtaken =
         heartbeat.sequence() < state.sequence && now - state.lastHeardMillis < OVERTAKEN_MILLIS;
+    noteReturn(state, now);
     state.lastHeardMillis = now;
     if (overtaken) {
       return true;
@@ -118,6 +133,17 @@
     return true;
   }
 
+  /** At first a leader hears all nodes anew, though none of them was away. */
+  private void noteReturn(NodeState state, long now) {
+    if (hearingSinceMillis == NEVER) {
+      hearingSinceMillis = now;
+    }
+    boolean hearsAllAnew = now - hearingSinceMillis < AWAY_MILLIS;
+    if (!hearsAllAnew && now - state.lastHeardMillis > AWAY_MILLIS) {
+      state.backSinceMillis = now;
+    }
+  }
+
   Optional<NodeState> state(String node) {
     return Optional.ofNullable(states.get(node));
   }
@@ -128,6 +154,7 @@
 
   void clear() {
     states.clear();
+    hearingSinceMillis = NEVER;
   }
 
   /** Number of nodes that have a version, or a later one, in force. */
@@ -162,9 +189,10 @@
   /**
    * What the nodes that were lately heard, and may have connections to a member, say of it.
    *
-   * @param heardNodes such nodes heard within the allowed silence
+   * @param heardNodes such nodes heard within the allowed silence, but for those that have just
+   *     come back and call it unreachable
    * @param reachable those that call it reachable and were heard a moment ago
-   * @param unreachable those that call it unreachable
+   * @param unreachable those that call it unreachable and have not just come back
    */
   record Opinion(int heardNodes, int reachable, int unreachable) {}
 
@@ -183,8 +211,12 @@
       if (now - state.lastHeardMillis > silenceMillis || !observes.test(each.getKey())) {
         continue;
       }
-      heard++;
       MemberReport report = state.report(group, member).orElse(null);
+      boolean callsUnreachable = report != null && !report.reachable();
+      if (callsUnreachable && now - state.backSinceMillis < SETTLING_MILLIS) {
+        continue;
+      }
+      heard++;
       if (report != null && report.reachable()) {
         reachable += now - state.lastHeardMillis <= reachableMillis ? 1 : 0;
       } else if (report != null) {
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.streamcourse.version.control.PromotionAgent.Order;
@@ -26,7 +28,6 @@
 import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.RoutingDocument;
 import org.streamcourse.version.image.ServiceImage;
-import org.streamcourse.version.image.TermPosition;
 
 /**
  * The leader's work for services whose members register themselves: it takes the operators'
@@ -75,6 +76,7 @@
   private final GroupSupervisor.Actions actions;
   private final NodeRegistry registry;
   private final MemberObservers observers = new MemberObservers();
+  private final MemberLogs logs;
   private final ControlSettings settings;
   private final PromotionAgent agent;
   private final MemberProbe probe;
@@ -82,6 +84,7 @@
   private final List<Waiting> waiting = new ArrayList<>();
   private final Map<String, OpenOrder> orders = new HashMap<>();
   private final Map<String, ReplicaFence> fences = new HashMap<>();
+  private final Set<String> withoutTarget = new HashSet<>();
   private final Consumer<Runnable> onWorker;
   private long proposedDocument = -1;
   private long leadsSince;
@@ -95,6 +98,7 @@
       Consumer<Runnable> onWorker) {
     this.actions = actions;
     this.registry = registry;
+    this.logs = new MemberLogs(registry);
     this.settings = settings;
     this.agent = agent;
     this.probe = probe;
@@ -107,6 +111,7 @@
     waiting.clear();
     orders.clear();
     fences.clear();
+    withoutTarget.clear();
     proposedDocument = -1;
     leadsSince = actions.now();
   }
@@ -206,7 +211,7 @@
         "its heartbeat",
         "was " + service.primary(),
         id.toString());
-    actions.propose(new PrimaryObserved(service.name(), id));
+    actions.propose(new PrimaryObserved(service.name(), id, logs.lastTerm(service)));
   }
 
   void memberLeaves(ClusterImage image, MemberLeaves call, Consumer<Result> answer) {
@@ -276,8 +281,10 @@
     }
     Optional<MemberId> target = synchronous ? fencedTarget(service) : chooseTarget(service);
     if (target.isEmpty()) {
+      waitForTarget(service, cause);
       return;
     }
+    withoutTarget.remove(service.name());
     OpenOrder next = new OpenOrder();
     next.target = target.get();
     next.nextStepMillis = actions.now() + ORDER_ANSWER_MILLIS;
@@ -286,13 +293,34 @@
         Decision.Kind.PRIMARY_CHANGE_STARTED,
         service.name(),
         cause,
-        "primary " + service.primary() + ", fence " + service.fence(),
+        inputs(service),
         "orders " + next.target);
     actions.propose(new PromotionOrdered(service.name(), next.target));
   }
 
+  private String inputs(ServiceImage service) {
+    return "primary "
+        + service.primary()
+        + ", fence "
+        + service.fence()
+        + ", logs "
+        + logs.describe(service);
+  }
+
+  private void waitForTarget(ServiceImage service, String cause) {
+    if (withoutTarget.add(service.name())) {
+      actions.decided(
+          Decision.Kind.PRIMARY_CHANGE_STARTED,
+          service.name(),
+          cause,
+          inputs(service),
+          "waits for a member that may lead");
+    }
+  }
+
   /** The primary is well again before a change was ordered. */
   private void giveUp(ServiceImage service) {
+    withoutTarget.remove(service.name());
     ReplicaFence fence = fences.remove(service.name());
     if (fence != null) {
       fence.release(service);
@@ -300,11 +328,9 @@
   }
 
   private Optional<MemberId> fencedTarget(ServiceImage service) {
-    long newest =
-        service.all().stream().mapToLong(each -> received(service, each).term()).max().orElse(0);
     ReplicaFence fence =
         fences.computeIfAbsent(
-            service.name(), any -> new ReplicaFence(probe, onWorker, newest + 1));
+            service.name(), any -> new ReplicaFence(probe, onWorker, logs.newestTerm(service) + 1));
     fence.advance(service, actions.now());
     return fence.latest(service, this::isLost);
   }
@@ -358,21 +384,23 @@
         && 2 * opinion.unreachable() >= opinion.heardNodes();
   }
 
-  /** The member whose log ends latest among those that stay and are not known to be unreachable. */
+  /**
+   * The member whose log ends latest among those that stay and are not known to be unreachable. A
+   * former primary that is not known to follow the present one is left out, since it would bring
+   * back records that callers could not see meanwhile; it counts again once the present primary has
+   * been silent for so long that it is lost for good.
+   */
   private Optional<MemberId> chooseTarget(ServiceImage service) {
     return service.all().stream()
         .filter(each -> !each.draining() && !each.id().equals(service.primary()))
         .filter(each -> !isUnreachable(service, each.id()))
+        .filter(each -> logs.follows(service, each.id()) || isLost(service.primary()))
         .max(
-            Comparator.comparing((RegisteredMember each) -> received(service, each))
+            Comparator.comparing((RegisteredMember each) -> logs.received(service, each.id()))
                 .thenComparing(RegisteredMember::id))
         .map(RegisteredMember::id);
   }
 
-  private TermPosition received(ServiceImage service, RegisteredMember member) {
-    return registry.latestReceived(service.name(), member.id().value());
-  }
-
   private void give(ServiceImage service) {
     OpenOrder open = orders.computeIfAbsent(service.name(), any -> new OpenOrder());
     open.target = service.promotion();
--- a/server/src/main/java/org/streamcourse/version/image/ClusterChange.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterChange.java
@@ -138,8 +138,11 @@
    *
    * @param service service's name
    * @param member the primary
+   * @param formerTerm term of the last record known of the log of the primary before it; 0 when
+   *     none is known
    */
-  record PrimaryObserved(String service, MemberId member) implements ClusterChange {}
+  record PrimaryObserved(String service, MemberId member, long formerTerm)
+      implements ClusterChange {}
 
   /**
    * Agrees on ordering a member to become primary; the version of the image that includes this
--- a/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
@@ -174,7 +174,7 @@
           services,
           observed.service(),
           observed.member(),
-          each -> each.withPrimary(observed.member()));
+          each -> each.withPrimary(observed.member(), observed.formerTerm()));
     } else if (change instanceof PromotionOrdered ordered) {
       updateService(
           services,
--- a/server/src/main/java/org/streamcourse/version/image/ServiceImage.java
+++ b/server/src/main/java/org/streamcourse/version/image/ServiceImage.java
@@ -17,6 +17,9 @@
  * @param fence version of the cluster image at which that order was agreed; rises with each order
  * @param members registered members by identity
  * @param departed identities that have left and never come back, oldest first
+ * @param formerPrimaries members that another one has replaced as primary, each with the term of
+ *     the last record that was known of its log then; until it has records of a later term it may
+ *     hold records that the change has dropped
  */
 public record ServiceImage(
     String name,
@@ -24,7 +27,8 @@
     MemberId promotion,
     long fence,
     TreeMap<MemberId, RegisteredMember> members,
-    List<MemberId> departed) {
+    List<MemberId> departed,
+    TreeMap<MemberId, Long> formerPrimaries) {
   private static final int KEPT_DEPARTED = 256;
 
   /** Makes the list unmodifiable. */
@@ -39,7 +43,8 @@
    * @return empty service
    */
   public static ServiceImage empty(String name) {
-    return new ServiceImage(name, MemberId.NONE, MemberId.NONE, 0, new TreeMap<>(), List.of());
+    return new ServiceImage(
+        name, MemberId.NONE, MemberId.NONE, 0, new TreeMap<>(), List.of(), new TreeMap<>());
   }
 
   /**
@@ -70,7 +75,7 @@
   public ServiceImage withMember(RegisteredMember member) {
     TreeMap<MemberId, RegisteredMember> next = new TreeMap<>(members);
     next.put(member.id(), member);
-    return new ServiceImage(name, primary, promotion, fence, next, departed);
+    return new ServiceImage(name, primary, promotion, fence, next, departed, formerPrimaries);
   }
 
   /**
@@ -89,17 +94,26 @@
     }
     MemberId nextPrimary = primary.equals(id) ? MemberId.NONE : primary;
     MemberId nextPromotion = promotion.equals(id) ? MemberId.NONE : promotion;
-    return new ServiceImage(name, nextPrimary, nextPromotion, fence, next, nextDeparted);
+    TreeMap<MemberId, Long> nextFormer = new TreeMap<>(formerPrimaries);
+    nextFormer.remove(id);
+    return new ServiceImage(
+        name, nextPrimary, nextPromotion, fence, next, nextDeparted, nextFormer);
   }
 
   /**
    * Notes the present primary; this closes an open order.
    *
    * @param id the primary
+   * @param formerTerm term of the last record known of the log of the primary before it
    * @return changed service
    */
-  public ServiceImage withPrimary(MemberId id) {
-    return new ServiceImage(name, id, MemberId.NONE, fence, members, departed);
+  public ServiceImage withPrimary(MemberId id, long formerTerm) {
+    TreeMap<MemberId, Long> nextFormer = new TreeMap<>(formerPrimaries);
+    if (members.containsKey(primary) && !primary.equals(id)) {
+      nextFormer.put(primary, formerTerm);
+    }
+    nextFormer.remove(id);
+    return new ServiceImage(name, id, MemberId.NONE, fence, members, departed, nextFormer);
   }
 
   /**
@@ -110,6 +124,6 @@
    * @return changed service
    */
   public ServiceImage withPromotion(MemberId target, long newFence) {
-    return new ServiceImage(name, primary, target, newFence, members, departed);
+    return new ServiceImage(name, primary, target, newFence, members, departed, formerPrimaries);
   }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -115,7 +115,7 @@
           new RegisteredMember(new MemberId("i-" + port), "10.0.0.1", port, "z", 3, false);
       image = image.apply(new ClusterChange.MemberRegistered(SERVICE, member));
     }
-    return image.apply(new ClusterChange.PrimaryObserved(SERVICE, new MemberId(PRIMARY)));
+    return image.apply(new ClusterChange.PrimaryObserved(SERVICE, new MemberId(PRIMARY), 0));
   }
 
   static RouteRule route(RouteConsistency consistency) {
--- a/server/src/test/java/org/streamcourse/version/control/NodeRegistryTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/NodeRegistryTest.java
@@ -41,4 +41,37 @@
     registry.heard(heartbeat(1, true), 1_700, false);
     assertEquals(reachable(registry, 1_710), 1);
   }
+
+  private static int unreachable(NodeRegistry registry, long now) {
+    return registry.opinionOf("s", "m", now, 1_500, 750, node -> true).unreachable();
+  }
+
+  @Test
+  public void theWordOfANodeThatHasJustComeBackDoesNotCountAgainstAMember() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeat(1, true), 1_000, false);
+    registry.heard(heartbeat(2, false), 8_000, false);
+    assertEquals(unreachable(registry, 8_010), 0);
+    registry.heard(heartbeat(3, false), 8_900, false);
+    assertEquals(unreachable(registry, 9_010), 1);
+  }
+
+  @Test
+  public void theWordOfANodeThatWasRemovedMeanwhileDoesNotCountEither() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeat(1, true), 1_000, false);
+    registry.forget(NODE.name());
+    registry.heard(heartbeat(2, false), 8_000, false);
+    assertEquals(unreachable(registry, 8_010), 0);
+    assertEquals(registry.opinionOf("s", "m", 8_010, 1_500, 750, node -> true).heardNodes(), 0);
+  }
+
+  @Test
+  public void aNewLeaderBelievesTheFirstWordOfAllNodes() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeat(1, true), 1_000, false);
+    registry.clear();
+    registry.heard(heartbeat(2, false), 8_000, false);
+    assertEquals(unreachable(registry, 8_010), 1);
+  }
 }
--- a/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
@@ -26,6 +26,7 @@
 import org.streamcourse.version.image.RoutingDocument;
 import org.streamcourse.version.image.ServiceImage;
 import org.streamcourse.version.image.SessionLimits;
+import org.streamcourse.version.image.TermPosition;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -134,9 +135,34 @@
   }
 
   private void report(String node, String id, boolean reachable) {
+    report(node, new MemberReport(SERVICE, id, reachable, MemberStatus.UNKNOWN), true);
+  }
+
+  private void report(String node, MemberReport report, boolean all) {
     NodeImage self = new NodeImage(node, 1, "h", 1, new Place("r", "z"), false);
-    MemberReport report = new MemberReport(SERVICE, id, reachable, MemberStatus.UNKNOWN);
-    registry.heard(new NodeHeartbeat(self, 1, 1, 1, false, 0, true, List.of(report)), now, true);
+    registry.heard(new NodeHeartbeat(self, 1, 1, 1, false, 0, all, List.of(report)), now, true);
+  }
+
+  /** One node tells of one member after the other. */
+  private void reportPlace(String id, boolean reachable, long term, long position) {
+    TermPosition place = new TermPosition(term, position);
+    MemberStatus status = new MemberStatus(term, MemberRole.REPLICA, "", place, place, place);
+    report("p1", new MemberReport(SERVICE, id, reachable, status), false);
+  }
+
+  /** The first member was primary up to 1:98; the second one has followed it with 88 records. */
+  private void changePrimary() {
+    startService();
+    reportPlace("i-1", true, 1, 98);
+    heartbeat(member("i-2", 2, false), true, 2);
+    agree();
+    assertEquals(service().primary(), new MemberId("i-2"));
+  }
+
+  private List<MemberId> ordered() {
+    supervisor.check(image);
+    agree();
+    return orders.stream().map(Order::target).toList();
   }
 
   @Test
@@ -282,4 +308,55 @@
     assertEquals(orders.size(), 1);
     assertFalse(orders.get(0).target().equals(new MemberId("i-1")));
   }
+
+  @Test
+  public void aFormerPrimaryWithDroppedRecordsIsNotOrderedToLeadAgain() {
+    changePrimary();
+    reportPlace("i-2", false, 2, 89);
+    reportPlace("i-3", true, 1, 69);
+    assertEquals(ordered(), List.of(new MemberId("i-3")));
+  }
+
+  @Test
+  public void noRecordOfTheNewTermIsNeededToTellDroppedOnes() {
+    changePrimary();
+    reportPlace("i-2", false, 1, 88);
+    reportPlace("i-3", true, 1, 69);
+    assertEquals(ordered(), List.of(new MemberId("i-3")));
+  }
+
+  @Test
+  public void aFormerPrimaryThatFollowsIsOrderedAgain() {
+    changePrimary();
+    reportPlace("i-2", false, 2, 89);
+    reportPlace("i-1", true, 2, 90);
+    reportPlace("i-3", true, 1, 69);
+    assertEquals(ordered(), List.of(new MemberId("i-1")));
+  }
+
+  @Test
+  public void aFormerPrimaryWhosePlaceIsUnknownIsNotOrdered() {
+    startService();
+    heartbeat(member("i-2", 2, false), true, 2);
+    agree();
+    reportPlace("i-2", false, 2, 89);
+    assertEquals(ordered(), List.of(new MemberId("i-3")));
+  }
+
+  @Test
+  public void aFormerPrimaryLeadsAgainOnlyOnceThePrimaryIsLostForGood() {
+    changePrimary();
+    supervisor.memberLeaves(image, new MemberLeaves(new MemberId("i-3")), any -> {});
+    agree();
+    reportPlace("i-2", false, 2, 89);
+    assertEquals(ordered(), List.of());
+    now += 16_000;
+    heartbeat(member("i-1", 1, false), false, 3);
+    reportPlace("i-1", true, 1, 98);
+    reportPlace("i-2", false, 2, 89);
+    now += 1_000;
+    reportPlace("i-1", true, 1, 98);
+    reportPlace("i-2", false, 2, 89);
+    assertEquals(ordered(), List.of(new MemberId("i-1")));
+  }
 }
