A holder's refusals are told and counted

Cause: RelayServer.refuse, which writes the line `relayed statement not run` and counts it, was called by nobody: a holder's refusals went out without it, so on-call saw them at the sender only.

Change: both ways of refusing go through it.

Test: two cases of StatementRelayTest look at the count, seen failing (0 refusals told).

--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -118,8 +118,7 @@
     MemberLinks held = stopping ? null : links.held(open.service(), open.member(), open.standIn());
     if (held == null) {
       String cause = stopping ? "the node stops" : "no connections to the member are held here";
-      send(
-          sender, new RelayMessage.Refused(open.stream(), RelayMessage.Refusal.NOT_HELD, cause, 0));
+      refuse(sender, open, RelayMessage.Refusal.NOT_HELD, cause, 0);
       return;
     }
     RelayedWork work = new RelayedWork(this, sender, open, held);
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -102,7 +102,7 @@
     boolean usable = open.needsPrimary() ? links.isUsableAsPrimary() : links.isUsable();
     RelayMessage.Refusal refusal =
         usable ? RelayMessage.Refusal.BUSY : RelayMessage.Refusal.MEMBER_UNUSABLE;
-    server.send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis));
+    server.refuse(sender, open, refusal, cause, retryAfterMillis);
   }
 
   // ---- steps ----
--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -44,6 +44,7 @@
     private final MemberTable table;
     private final RelayClient client;
     private final RelayServer server;
+    private final RequestLog log = new RequestLog(new LineBudget(0, service.worker::now), 0);
 
     Node(int number, long lastStream) {
       name = ScriptedService.node(number).name();
@@ -58,7 +59,7 @@
               (peer, message) -> carry(name, peer, message),
               table::held,
               () -> REST_MILLIS,
-              new RequestLog(new LineBudget(0, service.worker::now), 0));
+              log);
       table.update(ScriptedService.image(NODES));
       service.worker.repeat(
           100,
@@ -210,6 +211,7 @@
         name -> nodes.get(name).table.update(ScriptedService.image(NODES).apply(withoutMembers())));
     write("w");
     service.pass(60);
+    assertTrue(toldByHolders() > 0, "holders tell that they hold nothing");
     holders.forEach(name -> nodes.get(name).table.update(ScriptedService.image(NODES)));
     service.pass(150);
     assertEquals(service.completed(), 1);
@@ -303,6 +305,11 @@
     assertEquals(refused, service.answers.size(), "nobody is left in doubt so early");
     assertTrue(refused >= links, refused + " are refused");
     assertEquals(writesRun() + refused, 2 * links, "what was refused has not run");
+    assertTrue(toldByHolders() >= refused, toldByHolders() + " refusals are told by holders");
+  }
+
+  private long toldByHolders() {
+    return nodes.values().stream().mapToLong(node -> node.log.refusedForOthers()).sum();
   }
 
   @Test
