Synchronous replicas: a primary that leaves loses the lead before its successor is chosen

Ruled out: that a replica's log ends later than it told; that orders overtake each other (one order in force).

Change: once all replicas are paused, a primary that leaves is told to step down; the choice waits 0.3 s for replicas that started before. A member whose status is not that of a replica does not count as paused. A primary that is chosen without an order resumes the replicas that a change had paused, which had left services without acknowledgement.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
@@ -61,13 +61,14 @@
       ask(
           member,
           found -> {
-            TermPosition end = found.pause();
+            Optional<TermPosition> end =
+                found.isPrimary() ? Optional.empty() : Optional.of(found.pause());
             world
                 .network()
                 .deliver(
                     found.host().name(),
                     host.name(),
-                    () -> host.execute(run, () -> answer(answered, received, Optional.of(end))));
+                    () -> host.execute(run, () -> answer(answered, received, end)));
           });
       world.after(
           PROBE_MILLIS,
@@ -82,6 +83,18 @@
       }
     }
 
+    @Override
+    public void stepDown(String service, RegisteredMember member, long term, Runnable done) {
+      ask(
+          member,
+          found -> {
+            found.loseLead();
+            world
+                .network()
+                .deliver(found.host().name(), host.name(), () -> host.execute(run, done));
+          });
+    }
+
     @Override
     public void resume(String service, RegisteredMember member) {
       ask(member, SimServiceMember::resume);
--- a/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
@@ -91,4 +91,30 @@
           scenario.label() + " seed " + seed + ": " + world.checks().lastEvents());
     }
   }
+
+  @DataProvider
+  public Object[][] formerLosses() {
+    return new Object[][] {
+      {ServiceScenario.MEMBERS_REPLACED, 14},
+      {ServiceScenario.MEMBERS_REPLACED, 117},
+      {ServiceScenario.TWO_AT_ONCE, 33},
+      {ServiceScenario.TWO_AT_ONCE, 46},
+      {ServiceScenario.TWO_AT_ONCE, 56},
+      {ServiceScenario.TWO_AT_ONCE, 119}
+    };
+  }
+
+  /**
+   * A replica that started during a change received a commit that nobody else had, or a primary
+   * that a new leader took for a replica went on writing.
+   */
+  @Test(dataProvider = "formerLosses")
+  public void aReplicaThatStartsDuringAChangeLosesNothing(ServiceScenario scenario, long seed) {
+    ServiceWorld world = new ServiceWorld(seed, ServiceSize.DEFAULT.withSynchronousReplicas(1));
+    world.run(scenario::start);
+    assertEquals(
+        world.checks().violations(),
+        List.of(),
+        scenario.label() + " seed " + seed + ": " + world.checks().lastEvents());
+  }
 }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberCommand.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberCommand.java
@@ -72,6 +72,13 @@
    */
   record PauseReceiving(long term) implements MemberCommand {}
 
+  /**
+   * Makes a primary a replica.
+   *
+   * @param term a term above the newest
+   */
+  record StepDown(long term) implements MemberCommand {}
+
   /** Lets a replica receive again. */
   record ResumeReceiving() implements MemberCommand {}
 
--- a/server/src/main/java/org/streamcourse/connection/member/TcpMemberProbe.java
+++ b/server/src/main/java/org/streamcourse/connection/member/TcpMemberProbe.java
@@ -42,6 +42,14 @@
                 .start());
   }
 
+  @Override
+  public void stepDown(String service, RegisteredMember member, long term, Runnable done) {
+    worker.execute(
+        () ->
+            new Question(service, member, new MemberCommand.StepDown(term), any -> done.run())
+                .start());
+  }
+
   @Override
   public void resume(String service, RegisteredMember member) {
     worker.execute(
--- a/server/src/main/java/org/streamcourse/version/control/MemberProbe.java
+++ b/server/src/main/java/org/streamcourse/version/control/MemberProbe.java
@@ -19,6 +19,11 @@
           received.accept(Optional.empty());
         }
 
+        @Override
+        public void stepDown(String service, RegisteredMember member, long term, Runnable done) {
+          done.run();
+        }
+
         @Override
         public void resume(String service, RegisteredMember member) {}
       };
@@ -39,6 +44,16 @@
       long term,
       Consumer<Optional<TermPosition>> received);
 
+  /**
+   * Takes the lead from a primary, so that it acknowledges nothing more.
+   *
+   * @param service service's name
+   * @param member the primary
+   * @param term a term above the newest
+   * @param done runs once, when the member has answered or can't be expected to; on any thread
+   */
+  void stepDown(String service, RegisteredMember member, long term, Runnable done);
+
   /**
    * Lets a replica receive again.
    *
--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
@@ -20,16 +20,29 @@
  * replicas are paused first; from then on nothing more is acknowledged, and the log that ends
  * latest among all of them has everything that was. A replica that can't be asked keeps the change
  * from going on, unless it has been silent for so long that it counts as lost.
+ *
+ * <p>A replica that starts meanwhile is not paused, and what it receives is acknowledged. So a
+ * primary that leaves, and is still there, loses the lead before the choice is made.
  */
 final class ReplicaFence {
   private static final long ASK_AGAIN_MILLIS = 300;
 
+  /**
+   * Time from the question to the primary until the choice: a replica that has started before it
+   * has registered by then, since a member tells of itself as soon as it runs, and is paused too.
+   */
+  private static final long JOIN_MILLIS = 300;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final MemberProbe probe;
   private final Consumer<Runnable> onWorker;
   private final long term;
   private final Map<MemberId, TermPosition> ends = new TreeMap<>();
   private final Map<MemberId, Long> askedMillis = new TreeMap<>();
   private final Set<MemberId> asking = new HashSet<>();
+  private long stepDownMillis = NEVER;
+  private boolean steppedDown;
 
   ReplicaFence(MemberProbe probe, Consumer<Runnable> onWorker, long term) {
     this.probe = probe;
@@ -56,6 +69,25 @@
     end.ifPresent(place -> ends.put(id, place));
   }
 
+  /**
+   * Takes the lead from a primary that leaves; to be called once all replicas are paused.
+   *
+   * @return true once the choice may be made
+   */
+  boolean hasDeposed(ServiceImage service, long now) {
+    Optional<RegisteredMember> leaving =
+        service.member(service.primary()).filter(RegisteredMember::draining);
+    if (leaving.isEmpty()) {
+      return true;
+    }
+    if (stepDownMillis == NEVER) {
+      stepDownMillis = now;
+      probe.stepDown(
+          service.name(), leaving.get(), term, () -> onWorker.accept(() -> steppedDown = true));
+    }
+    return steppedDown && now - stepDownMillis >= JOIN_MILLIS;
+  }
+
   /** The member to promote, once every replica that is not lost is paused. */
   Optional<MemberId> latest(ServiceImage service, Predicate<MemberId> lost) {
     for (RegisteredMember member : service.all()) {
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -252,7 +252,8 @@
       }
     } else if (change instanceof PrimaryObserved observed) {
       orders.remove(observed.service());
-      fences.remove(observed.service());
+      // A primary that was chosen without an order has not resumed its replicas.
+      releaseFence(image.service(observed.service()));
     }
   }
 
@@ -321,6 +322,10 @@
   /** The primary is well again before a change was ordered. */
   private void giveUp(ServiceImage service) {
     withoutTarget.remove(service.name());
+    releaseFence(service);
+  }
+
+  private void releaseFence(ServiceImage service) {
     ReplicaFence fence = fences.remove(service.name());
     if (fence != null) {
       fence.release(service);
@@ -332,7 +337,10 @@
         fences.computeIfAbsent(
             service.name(), any -> new ReplicaFence(probe, onWorker, logs.newestTerm(service) + 1));
     fence.advance(service, actions.now());
-    return fence.latest(service, this::isLost);
+    Optional<MemberId> latest = fence.latest(service, this::isLost);
+    return latest.isPresent() && fence.hasDeposed(service, actions.now())
+        ? latest
+        : Optional.empty();
   }
 
   private boolean isLost(MemberId id) {
