--- a/server/src/main/java/org/streamcourse/connection/session/EarlyPort.java
+++ b/server/src/main/java/org/streamcourse/connection/session/EarlyPort.java
@@ -18,7 +18,10 @@
  * <p>Uses nothing but the JDK, so that little is loaded before the port stands.
  */
 public final class EarlyPort {
-  /** Connections that may wait: more than twice the sessions of a node at the design's size. */
+  /**
+   * Connections that may wait to be accepted. The kernel drops the opening packets of further ones,
+   * which callers' machines send again after a second and more.
+   */
   static final int BACKLOG = 1_024;
 
   private final ServerSocketChannel channel;
--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
@@ -8,6 +8,8 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.ServiceImage;
@@ -25,6 +27,8 @@
  * primary that leaves, and is still there, loses the lead before the choice is made.
  */
 final class ReplicaFence {
+  private static final Logger LOG = LoggerFactory.getLogger(ReplicaFence.class);
+
   private static final long ASK_AGAIN_MILLIS = 300;
 
   /**
@@ -82,6 +86,12 @@
     }
     if (stepDownMillis == NEVER) {
       stepDownMillis = now;
+      LOG.info(
+          "primary {}/{} leaves and steps down, term {}, replicas paused at {}",
+          service.name(),
+          service.primary(),
+          term,
+          ends);
       probe.stepDown(
           service.name(), leaving.get(), term, () -> onWorker.accept(() -> steppedDown = true));
     }
