Links are signed without loading the cryptographic providers

Cause: the first signature of a link, between a process's start and its first word with a controller, went through javax.crypto.Mac, which loads and verifies the providers: 70 ms of processor time in a cold process on a busy machine, of some 480 for a whole start up to the first links.

Ruled out: a library with an HMAC of its own (a jar of 8 MB for two hashes); other libraries call Mac too.

--- a/server/src/main/java/org/streamcourse/process/FleetKey.java
+++ b/server/src/main/java/org/streamcourse/process/FleetKey.java
@@ -4,15 +4,23 @@
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Arrays;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
 
-/** Secret shared by all processes of a fleet; signs texts. */
+/**
+ * Secret shared by all processes of a fleet; signs texts with HMAC-SHA-256 (RFC 2104).
+ *
+ * <p>The two hashes are made with a plain digest: {@code javax.crypto.Mac} loads and verifies the
+ * cryptographic providers first, 70 ms of processor time of a cold process in place of 18, between
+ * a proxy's start and its first word with a controller.
+ */
 public final class FleetKey {
-  private static final String ALGORITHM = "HmacSHA256";
+  private static final String ALGORITHM = "SHA-256";
+  private static final int BLOCK_BYTES = 64;
+  private static final byte INNER_PAD = 0x36;
+  private static final byte OUTER_PAD = 0x5c;
   private static final int SIGNATURE_BYTES = 16;
 
-  private final SecretKeySpec key;
+  private final byte[] innerKey;
+  private final byte[] outerKey;
 
   /**
    * Creates a key.
@@ -20,7 +28,28 @@
    * @param secret secret text of any length but 0
    */
   public FleetKey(String secret) {
-    key = new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+    byte[] bytes = secret.getBytes(StandardCharsets.UTF_8);
+    byte[] key = bytes.length > BLOCK_BYTES ? hash(bytes, new byte[0]) : bytes;
+    innerKey = padded(key, INNER_PAD);
+    outerKey = padded(key, OUTER_PAD);
+  }
+
+  private static byte[] padded(byte[] key, byte pad) {
+    byte[] block = Arrays.copyOf(key, BLOCK_BYTES);
+    for (int i = 0; i < BLOCK_BYTES; i++) {
+      block[i] ^= pad;
+    }
+    return block;
+  }
+
+  private static byte[] hash(byte[] first, byte[] second) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance(ALGORITHM);
+      digest.update(first);
+      return digest.digest(second);
+    } catch (GeneralSecurityException e) {
+      throw new StreamcourseException(ErrorCode.INTERNAL, "sign", "", e.toString(), 0, e);
+    }
   }
 
   /**
@@ -30,14 +59,8 @@
    * @return signature
    */
   public byte[] sign(String text) {
-    try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
-      byte[] full = mac.doFinal(text.getBytes(StandardCharsets.UTF_8));
-      return Arrays.copyOf(full, SIGNATURE_BYTES);
-    } catch (GeneralSecurityException e) {
-      throw new StreamcourseException(ErrorCode.INTERNAL, "sign", "", e.toString(), 0, e);
-    }
+    byte[] inner = hash(innerKey, text.getBytes(StandardCharsets.UTF_8));
+    return Arrays.copyOf(hash(outerKey, inner), SIGNATURE_BYTES);
   }
 
   /**
