Changes of primary with synchronous replicas: nothing is lost when three faults come at once

The leader now chooses only once each running member has told of itself. - 21, 80: two leaving members were promoted in turn; each change paused those that stay, so they never received. A leaving primary that still serves now lets them catch up for 0.5 s first. - 114 and others without service: the log of a member that was gone was waited for; a target out of reach was ordered again every 50 ms (18 orders in 0.7 s). One order in its time now. - found by reading: replicas that a replaced leader had paused stayed paused. The next leader resumes them once, while no agreed order is open.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
@@ -85,14 +85,23 @@
 
     @Override
     public void stepDown(String service, RegisteredMember member, long term, Runnable done) {
+      boolean[] answered = new boolean[1];
+      Runnable once =
+          () -> {
+            if (!answered[0]) {
+              answered[0] = true;
+              done.run();
+            }
+          };
       ask(
           member,
           found -> {
             found.loseLead();
             world
                 .network()
-                .deliver(found.host().name(), host.name(), () -> host.execute(run, done));
+                .deliver(found.host().name(), host.name(), () -> host.execute(run, once));
           });
+      world.after(PROBE_MILLIS, () -> host.execute(run, once));
     }
 
     @Override
--- a/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
@@ -119,4 +119,25 @@
         List.of(),
         scenario.label() + " seed " + seed + ": " + world.checks().lastEvents());
   }
+
+  @DataProvider
+  public Object[][] formerLossesOfThreeFaults() {
+    long[] seeds = {12, 21, 24, 43, 51, 57, 62, 63, 66, 80, 97, 114, 115, 119, 121, 132, 171};
+    return Arrays.stream(seeds).mapToObj(seed -> new Object[] {seed}).toArray(Object[][]::new);
+  }
+
+  /**
+   * Leaving members were promoted in turn while those that stay could not receive, a replica that
+   * no leader knew yet had acknowledged a commit, or the log of a member that was gone was waited
+   * for.
+   */
+  @Test(dataProvider = "formerLossesOfThreeFaults")
+  public void threeFaultsAtOnceLoseNothingThatWasAcknowledged(long seed) {
+    ServiceWorld world = new ServiceWorld(seed, ServiceSize.DEFAULT.withSynchronousReplicas(1));
+    world.run(ServiceScenario.THREE_AT_ONCE::start);
+    assertEquals(
+        world.checks().violations(),
+        List.of(),
+        "seed " + seed + ": " + world.checks().lastEvents());
+  }
 }
--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -98,7 +99,10 @@
     return steppedDown && now - stepDownMillis >= JOIN_MILLIS;
   }
 
-  /** The member to promote, once every replica that is not lost is paused. */
+  /**
+   * The member to promote, once every replica that is not lost is paused. The log of a member that
+   * has left is not waited for, since it does not come back.
+   */
   Optional<MemberId> latest(ServiceImage service, Predicate<MemberId> lost) {
     for (RegisteredMember member : service.all()) {
       MemberId id = member.id();
@@ -106,7 +110,11 @@
         return Optional.empty();
       }
     }
-    Optional<TermPosition> last = ends.values().stream().max(Comparator.naturalOrder());
+    Optional<TermPosition> last =
+        service.all().stream()
+            .map(member -> ends.get(member.id()))
+            .filter(Objects::nonNull)
+            .max(Comparator.naturalOrder());
     return service.all().stream()
         .filter(member -> last.isPresent() && last.get().equals(ends.get(member.id())))
         .min(Comparator.comparing(RegisteredMember::draining))
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -57,6 +57,16 @@
   /** Silence after which a replica counts as lost for good, so that a change may go on without. */
   private static final long REPLICA_LOST_MILLIS = 15_000;
 
+  /**
+   * Time within which every member that runs has told a new leader of itself: their heartbeats come
+   * every 1,200 ms. A replica that started while no controller could be told receives all the same,
+   * and what it has received is acknowledged, so it must be paused before the choice.
+   */
+  private static final long MEMBERS_TELL_MILLIS = 1_500;
+
+  /** Time that replicas have to receive what they lack; some ways between regions and a disk. */
+  private static final long CATCH_UP_MILLIS = 500;
+
   /** Pause after a refused order. */
   private static final long REFUSED_PAUSE_MILLIS = 200;
 
@@ -85,6 +95,8 @@
   private final Map<String, OpenOrder> orders = new HashMap<>();
   private final Map<String, ReplicaFence> fences = new HashMap<>();
   private final Set<String> withoutTarget = new HashSet<>();
+  private final Map<String, Long> catchUpUntil = new HashMap<>();
+  private final Set<String> resumed = new HashSet<>();
   private final Consumer<Runnable> onWorker;
   private long proposedDocument = -1;
   private long leadsSince;
@@ -112,6 +124,8 @@
     orders.clear();
     fences.clear();
     withoutTarget.clear();
+    catchUpUntil.clear();
+    resumed.clear();
     proposedDocument = -1;
     leadsSince = actions.now();
   }
@@ -278,6 +292,9 @@
     String cause = causeForChange(service);
     if (cause.isEmpty()) {
       giveUp(service);
+      if (synchronous) {
+        resumeOnce(service);
+      }
       return;
     }
     Optional<MemberId> target = synchronous ? fencedTarget(service) : chooseTarget(service);
@@ -286,6 +303,9 @@
       return;
     }
     withoutTarget.remove(service.name());
+    if (open != null && open.target.equals(target.get()) && isUnderWay(open)) {
+      return;
+    }
     OpenOrder next = new OpenOrder();
     next.target = target.get();
     next.nextStepMillis = actions.now() + ORDER_ANSWER_MILLIS;
@@ -325,6 +345,19 @@
     releaseFence(service);
   }
 
+  /**
+   * A leader before this one may have paused replicas and been replaced before it promoted one;
+   * with all of them paused no write is acknowledged. While an agreed order is open they stay
+   * paused.
+   */
+  private void resumeOnce(ServiceImage service) {
+    if (!service.promotion().isPresent() && resumed.add(service.name())) {
+      service.all().stream()
+          .filter(member -> !member.id().equals(service.primary()))
+          .forEach(member -> probe.resume(service.name(), member));
+    }
+  }
+
   private void releaseFence(ServiceImage service) {
     ReplicaFence fence = fences.remove(service.name());
     if (fence != null) {
@@ -333,24 +366,49 @@
   }
 
   private Optional<MemberId> fencedTarget(ServiceImage service) {
+    if (actions.now() < catchUpUntil.getOrDefault(service.name(), 0L)) {
+      return Optional.empty();
+    }
     ReplicaFence fence =
         fences.computeIfAbsent(
             service.name(), any -> new ReplicaFence(probe, onWorker, logs.newestTerm(service) + 1));
     fence.advance(service, actions.now());
     Optional<MemberId> latest = fence.latest(service, this::isLost);
-    return latest.isPresent() && fence.hasDeposed(service, actions.now())
-        ? latest
-        : Optional.empty();
+    if (latest.isPresent() && mayCatchUp(service, latest.get())) {
+      releaseFence(service);
+      catchUpUntil.put(service.name(), actions.now() + CATCH_UP_MILLIS);
+      return Optional.empty();
+    }
+    boolean deposed = latest.isPresent() && fence.hasDeposed(service, actions.now());
+    boolean allHaveTold = actions.now() - leadsSince >= MEMBERS_TELL_MILLIS;
+    return deposed && allHaveTold ? latest : Optional.empty();
+  }
+
+  /**
+   * Whether members that stay can still receive from a primary that leaves what only another
+   * leaving member has. Promoting that one would need the next change at once, and each change
+   * keeps those that stay from receiving.
+   */
+  private boolean mayCatchUp(ServiceImage service, MemberId latest) {
+    boolean primaryServes =
+        service.member(service.primary()).isPresent() && !isUnreachable(service, service.primary());
+    boolean latestLeaves = service.member(latest).filter(RegisteredMember::draining).isPresent();
+    return primaryServes && latestLeaves && service.all().stream().anyMatch(m -> !m.draining());
   }
 
   private boolean isLost(MemberId id) {
     return signs.silenceMillis(id, actions.now(), leadsSince) > REPLICA_LOST_MILLIS;
   }
 
+  /** Whether another target may be chosen; the same one is only ordered anew after its time. */
   private boolean mayOrderAgain(ServiceImage service, OpenOrder open) {
     boolean targetGone =
         service.member(open.target).isEmpty() || isUnreachable(service, open.target);
-    return targetGone || actions.now() >= open.nextStepMillis;
+    return targetGone || !isUnderWay(open);
+  }
+
+  private boolean isUnderWay(OpenOrder open) {
+    return actions.now() < open.nextStepMillis;
   }
 
   /** Why the service needs another primary; empty when it needs none. */
