A fault soak of real processes, and explain: one request's decisions from the logs

Cause: faults of whole processes were tried one after the other by FailureTest only, never overlapping or chosen by a seed, and a failed request of the plain proxy left no line when it was not run, and no id with its caller.

Ruled out: limits of a process' file size (prlimit) as storage that refuses writes, since limits stay as they are; a folder without write permission, since a privileged user writes to it all the same. A plain file in the folder's place refuses both.

Change: `streamcourse-lab soak` runs controllers, proxies and members as processes behind relays; the faults are a function of the seed (FaultPlan). Ten checks rest on what callers, members and operators saw; each catches a twin of the recorded history. Relays can hold back one direction and add a delay.

Slow or stalling storage and jumping clocks are not begun: both need a way from outside that is not there.

--- a/lab/src/main/java/org/streamcourse/lab/LabCommand.java
+++ b/lab/src/main/java/org/streamcourse/lab/LabCommand.java
@@ -9,6 +9,7 @@
 import org.streamcourse.lab.scale.SessionsCommand;
 import org.streamcourse.lab.simulation.SimulateCommand;
 import org.streamcourse.lab.simulation.SimulateServiceCommand;
+import org.streamcourse.lab.soak.SoakCommand;
 import org.streamcourse.lab.workload.DemoCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,7 +28,8 @@
       ScaleCommand.class,
       SessionsCommand.class,
       SimulateCommand.class,
-      SimulateServiceCommand.class
+      SimulateServiceCommand.class,
+      SoakCommand.class
     })
 public final class LabCommand {
   private static final String LOG_LEVEL = "STREAMCOURSE_LOG_LEVEL";
--- a/lab/src/main/java/org/streamcourse/lab/fleet/Fleet.java
+++ b/lab/src/main/java/org/streamcourse/lab/fleet/Fleet.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Properties;
 import java.util.concurrent.TimeUnit;
+import org.streamcourse.lab.relay.Relay;
 import org.streamcourse.process.settings.HostPort;
 import org.streamcourse.version.image.Place;
 
@@ -40,10 +41,31 @@
    * @param readPolicy policy of the proxies
    * @param lagMillis delay before replicas apply, by region index; missing ones have none
    * @param latencies whether relays add the profile's latencies
+   * @param controllers number of controllers, spread over the regions
+   * @param proxies number of proxies, two in each region before a further round begins
    */
-  public record Options(String readPolicy, Map<Integer, Long> lagMillis, boolean latencies) {
+  public record Options(
+      String readPolicy,
+      Map<Integer, Long> lagMillis,
+      boolean latencies,
+      int controllers,
+      int proxies) {
+    private static final int CONTROLLERS = 3;
+    private static final int PROXIES = 6;
+
     /** Values of a plain fleet. */
     public static final Options DEFAULT = new Options("nearest-fresh", Map.of(), true);
+
+    /**
+     * Options of a fleet of the usual size.
+     *
+     * @param readPolicy policy of the proxies
+     * @param lagMillis delay before replicas apply, by region index; missing ones have none
+     * @param latencies whether relays add the profile's latencies
+     */
+    public Options(String readPolicy, Map<Integer, Long> lagMillis, boolean latencies) {
+      this(readPolicy, lagMillis, latencies, CONTROLLERS, PROXIES);
+    }
   }
 
   /**
@@ -287,7 +309,26 @@
   }
 
   /**
-   * Returns the layout.profile().
+   * Returns the relays between all parts.
+   *
+   * @return relays by route, see {@link #setCut}
+   */
+  public Map<String, Relay> relays() {
+    return layout.relays();
+  }
+
+  /**
+   * Returns the folder of a process' data.
+   *
+   * @param process process name
+   * @return folder, which need not exist
+   */
+  public Path dataFolder(String process) {
+    return layout.folder().resolve("data-" + process);
+  }
+
+  /**
+   * Returns the profile.
    *
    * @return places and sizes
    */
@@ -341,13 +382,22 @@
     return layout.machineList();
   }
 
-  /** Kills all processes and closes all relays. */
-  @Override
-  public void close() {
+  /**
+   * Returns all processes.
+   *
+   * @return controllers, proxies and members
+   */
+  public List<FleetProcess> processes() {
     List<FleetProcess> all = new ArrayList<>(layout.controllers().values());
     layout.proxies().forEach(each -> all.add(each.process()));
     layout.members().forEach(each -> all.add(each.process()));
-    all.forEach(FleetProcess::kill);
+    return all;
+  }
+
+  /** Kills all processes and closes all relays. */
+  @Override
+  public void close() {
+    processes().forEach(FleetProcess::killForGood);
     layout.close();
   }
 }
--- a/lab/src/main/java/org/streamcourse/lab/fleet/FleetLayout.java
+++ b/lab/src/main/java/org/streamcourse/lab/fleet/FleetLayout.java
@@ -53,12 +53,14 @@
     this.profile = profile;
     this.folder = Files.createDirectories(folder).toAbsolutePath();
     this.options = options;
-    for (int region = 0; region < profile.regions().size(); region++) {
-      controllerNodes.add(new Node("c" + (region + 1), profile.place(region, 0), ports.next()));
-      for (int zone = 0; zone < Profile.ZONES_PER_REGION; zone++) {
-        String name = "p" + (region * Profile.ZONES_PER_REGION + zone + 1);
-        proxyNodes.add(new Node(name, profile.place(region, zone), ports.next()));
-      }
+    int regions = profile.regions().size();
+    for (int i = 0; i < options.controllers(); i++) {
+      controllerNodes.add(new Node("c" + (i + 1), profile.place(i % regions, 0), ports.next()));
+    }
+    for (int i = 0; i < options.proxies(); i++) {
+      int region = i / Profile.ZONES_PER_REGION % regions;
+      Place place = profile.place(region, i % Profile.ZONES_PER_REGION);
+      proxyNodes.add(new Node("p" + (i + 1), place, ports.next()));
     }
     machineListAddress = ports.next();
     machineList = new MachineList(machineListAddress);
@@ -257,6 +259,10 @@
     return members;
   }
 
+  Path folder() {
+    return folder;
+  }
+
   Map<String, Relay> relays() {
     return relays;
   }
--- a/lab/src/main/java/org/streamcourse/lab/fleet/FleetProcess.java
+++ b/lab/src/main/java/org/streamcourse/lab/fleet/FleetProcess.java
@@ -11,10 +11,14 @@
 public final class FleetProcess {
   private static final String CLASS_PATH = System.getProperty("java.class.path");
 
+  private static final String LOG_LEVEL_VARIABLE = "STREAMCOURSE_LOG_LEVEL";
+
   private final String name;
   private final List<String> command;
   private final File log;
   private Process process;
+  private boolean ended;
+  private String logLevel;
 
   /**
    * Describes a process.
@@ -43,6 +47,15 @@
     command.addAll(arguments);
   }
 
+  /**
+   * Lets it log at a level, whatever level the lab itself runs with.
+   *
+   * @param level such as {@code INFO}
+   */
+  public void logAt(String level) {
+    logLevel = level;
+  }
+
   /**
    * Starts it, or starts it again after it has ended.
    *
@@ -62,12 +75,18 @@
     launch(command.stream().filter(each -> !each.equals(argument)).toList());
   }
 
-  private void launch(List<String> words) throws IOException {
-    process =
+  private synchronized void launch(List<String> words) throws IOException {
+    if (ended) {
+      throw new IllegalStateException(name + " has been ended for good");
+    }
+    ProcessBuilder builder =
         new ProcessBuilder(words)
             .redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-            .start();
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    if (logLevel != null) {
+      builder.environment().put(LOG_LEVEL_VARIABLE, logLevel);
+    }
+    process = builder.start();
   }
 
   /**
@@ -105,6 +124,12 @@
     }
   }
 
+  /** Kills it without warning and lets nobody start it again. */
+  public synchronized void killForGood() {
+    ended = true;
+    kill();
+  }
+
   /** Tells it to stop, without waiting. */
   public void terminate() {
     if (process != null) {
--- a/lab/src/main/java/org/streamcourse/lab/member/SqlSession.java
+++ b/lab/src/main/java/org/streamcourse/lab/member/SqlSession.java
@@ -23,6 +23,9 @@
  * One connection to a member: protocol, login and messages; statements run in {@link Transaction}.
  */
 final class SqlSession implements Runnable {
+  /** Connections to this database are the lab's own and count against no limit. */
+  static final String LAB_DATABASE = "lab";
+
   private static final int MAX_MESSAGE_BYTES = 512 * 1024 * 1024;
 
   /** A prepared statement. */
@@ -136,7 +139,8 @@
       break;
     }
     TimeUnit.MILLISECONDS.sleep(server.limits().connectMillis());
-    if (!server.admit(this)) {
+    boolean ofLab = LAB_DATABASE.equals(startup.get("database"));
+    if (!ofLab && !server.admit(this)) {
       fatal("53300", "too many connections");
       return false;
     }
--- a/lab/src/main/java/org/streamcourse/lab/relay/Relay.java
+++ b/lab/src/main/java/org/streamcourse/lab/relay/Relay.java
@@ -26,6 +26,14 @@
  * only silence, as in a network partition; what was sent meanwhile passes after {@link #heal()}.
  */
 public final class Relay {
+  /** One of the two directions of every connection. */
+  public enum Direction {
+    /** From whoever connects to the address that is forwarded to. */
+    TO_TARGET,
+    /** From the address that is forwarded to back to whoever connected. */
+    FROM_TARGET
+  }
+
   private static final String FORWARD = "forward";
   private static final long CUT_POLL_MILLIS = 20;
   private static final int MAX_DELAYED_BYTES = 4 * 1024 * 1024;
@@ -36,7 +44,8 @@
   private final DisposableServer server;
   private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
   private final AtomicLong forwarders = new AtomicLong();
-  private volatile boolean cut;
+  private volatile Set<Direction> cut = Set.of();
+  private volatile long extraDelayMicros;
   private volatile long stuckUpTo;
 
   /**
@@ -64,12 +73,30 @@
 
   /** Lets nothing pass any more, silently. */
   public void cut() {
-    cut = true;
+    cut = Set.of(Direction.values());
+  }
+
+  /**
+   * Lets nothing pass in one direction any more, silently.
+   *
+   * @param direction what is held back; the other direction passes
+   */
+  public void cut(Direction direction) {
+    cut = Set.of(direction);
+  }
+
+  /**
+   * Adds to the delay of what is sent from now on.
+   *
+   * @param micros further one-way delay in microseconds, 0 for none
+   */
+  public void setExtraDelayMicros(long micros) {
+    extraDelayMicros = micros;
   }
 
   /** Lets everything pass again. */
   public void heal() {
-    cut = false;
+    cut = Set.of();
   }
 
   /**
@@ -78,7 +105,7 @@
    */
   public void healNewConnectionsOnly() {
     stuckUpTo = forwarders.get();
-    cut = false;
+    cut = Set.of();
   }
 
   /** Breaks all connections that pass through. */
@@ -110,8 +137,8 @@
     Channel far = opened.channel();
     channels.add(far);
     far.closeFuture().addListener(any -> channels.remove(far));
-    accepted.addHandlerLast(FORWARD, new Forwarder(far));
-    opened.addHandlerLast(FORWARD, new Forwarder(near));
+    accepted.addHandlerLast(FORWARD, new Forwarder(far, Direction.TO_TARGET));
+    opened.addHandlerLast(FORWARD, new Forwarder(near, Direction.FROM_TARGET));
     near.config().setAutoRead(true);
     far.config().setAutoRead(true);
     if (!near.isActive()) {
@@ -133,13 +160,15 @@
    */
   private final class Forwarder extends ChannelInboundHandlerAdapter {
     private final Channel to;
+    private final Direction direction;
     private final Deque<Delayed> queue = new ArrayDeque<>();
     private final long number = forwarders.incrementAndGet();
     private boolean pumping;
     private int delayedBytes;
 
-    Forwarder(Channel to) {
+    Forwarder(Channel to, Direction direction) {
       this.to = to;
+      this.direction = direction;
     }
 
     @Override
@@ -158,7 +187,7 @@
     }
 
     private void enqueue(ChannelHandlerContext context, ByteBuf bytes) {
-      long delayNanos = TimeUnit.MICROSECONDS.toNanos(delayMicros);
+      long delayNanos = TimeUnit.MICROSECONDS.toNanos(delayMicros + extraDelayMicros);
       queue.add(new Delayed(bytes, System.nanoTime() + delayNanos));
       if (!pumping) {
         pumping = true;
@@ -178,7 +207,7 @@
           pumpAfter(context, early);
           return;
         }
-        if ((cut || number <= stuckUpTo) && to.isActive()) {
+        if ((cut.contains(direction) || number <= stuckUpTo) && to.isActive()) {
           pumpAfter(context, TimeUnit.MILLISECONDS.toNanos(CUT_POLL_MILLIS));
           return;
         }
--- a/lab/src/main/java/org/streamcourse/lab/workload/Caller.java
+++ b/lab/src/main/java/org/streamcourse/lab/workload/Caller.java
@@ -7,6 +7,8 @@
 import java.sql.Statement;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.postgresql.PGConnection;
@@ -37,6 +39,9 @@
   private static final long RECONNECT_MILLIS = 50;
   private static final String FLOOR = "streamcourse.floor";
 
+  /** The product ends the detail of each error of a request with the request's id. */
+  private static final Pattern REQUEST = Pattern.compile(", request (\\S+)");
+
   private final int number;
   private final String database;
   private final List<HostPort> proxies;
@@ -96,6 +101,7 @@
         pause(behavior.pauseMillis());
       } catch (SQLException e) {
         journal.error(String.valueOf(e.getSQLState()), e.getMessage());
+        noteRequest(e);
         disconnect();
         pause(RECONNECT_MILLIS);
       }
@@ -103,6 +109,13 @@
     disconnect();
   }
 
+  private void noteRequest(SQLException e) {
+    Matcher id = REQUEST.matcher(String.valueOf(e.getMessage()));
+    if (id.find()) {
+      journal.requestFailed(id.group(1), e.getSQLState(), e.getMessage());
+    }
+  }
+
   private void pause(long millis) {
     try {
       if (millis > 0) {
@@ -157,11 +170,12 @@
       insert.setInt(2, random.nextInt(SLOTS));
       insert.setInt(3, number);
       insert.executeUpdate();
-      journal.write(id, database, WriteOutcome.ACKNOWLEDGED, start, System.nanoTime());
+      long end = System.nanoTime();
       lastBooked = id;
       rememberFloor();
+      journal.acknowledged(id, database, start, end, floor());
     } catch (SQLException e) {
-      journal.write(id, database, outcomeOf(e), start, System.nanoTime());
+      journal.notAcknowledged(id, outcomeOf(e), start, System.nanoTime());
       throw e;
     }
   }
@@ -204,6 +218,7 @@
       select.setString(1, lastBooked);
       try (ResultSet rows = select.executeQuery()) {
         rows.next();
+        journal.ownRead(lastBooked, rows.getInt(1));
         if (rows.getInt(1) == 0) {
           journal.staleRead("booking " + lastBooked + " was not seen by its own session");
         }
@@ -222,6 +237,7 @@
       }
     }
     long staleness = TimeUnit.NANOSECONDS.toMillis(ticker.stalenessNanos(seen, start));
+    journal.agedRead(database, staleness, behavior.maxStalenessMillis());
     if (staleness > behavior.maxStalenessMillis()) {
       journal.staleRead(database + " answered " + staleness + " ms old");
     }
--- a/lab/src/main/java/org/streamcourse/lab/workload/Journal.java
+++ b/lab/src/main/java/org/streamcourse/lab/workload/Journal.java
@@ -19,8 +19,9 @@
    * @param database database
    * @param sentAtNanos when it was sent
    * @param atNanos when its answer arrived
+   * @param place newest commit that its session knew of with the answer
    */
-  public record Acknowledged(String database, long sentAtNanos, long atNanos) {}
+  public record Acknowledged(String database, long sentAtNanos, long atNanos, TermPosition place) {}
 
   /**
    * An answered read.
@@ -31,11 +32,41 @@
    */
   public record Read(String database, long startNanos, TermPosition floor) {}
 
+  /**
+   * A read of a booking that the reading session had been told is committed.
+   *
+   * @param booking the booking's id
+   * @param found how often it was there
+   */
+  public record OwnRead(String booking, int found) {}
+
+  /**
+   * A read whose age is known.
+   *
+   * @param database database
+   * @param ageMillis time since the first acknowledged change that it missed
+   * @param limitMillis oldest answer that the caller accepted
+   */
+  public record AgedRead(String database, long ageMillis, long limitMillis) {}
+
+  /**
+   * A request that the product answered with an error.
+   *
+   * @param request id that the answer told
+   * @param sqlState SQLSTATE
+   * @param message text
+   * @param atNanos when the answer arrived
+   */
+  public record FailedRequest(String request, String sqlState, String message, long atNanos) {}
+
   private static final long MAX_MICROS = 60_000_000;
   private static final int DIGITS = 3;
 
   private final Map<String, WriteOutcome> writes = new ConcurrentHashMap<>();
   private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
+  private final Collection<OwnRead> ownReads = new ConcurrentLinkedQueue<>();
+  private final Collection<AgedRead> agedReads = new ConcurrentLinkedQueue<>();
+  private final Collection<FailedRequest> failedRequests = new ConcurrentLinkedQueue<>();
   private final Collection<Read> reads = new ConcurrentLinkedQueue<>();
   private final Histogram readMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
   private final Histogram writeMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
@@ -45,13 +76,17 @@
   private final Map<String, AtomicLong> errors = new ConcurrentHashMap<>();
   private final List<String> violations = new ArrayList<>();
 
-  void write(String id, String database, WriteOutcome outcome, long startNanos, long endNanos) {
+  void acknowledged(
+      String id, String database, long startNanos, long endNanos, TermPosition place) {
+    writes.put(id, WriteOutcome.ACKNOWLEDGED);
+    acknowledged.add(new Acknowledged(database, startNanos, endNanos, place));
+    writeMicros.recordValue(Math.min(MAX_MICROS, (endNanos - startNanos) / 1_000));
+  }
+
+  void notAcknowledged(String id, WriteOutcome outcome, long startNanos, long endNanos) {
     writes.put(id, outcome);
     long micros = Math.min(MAX_MICROS, (endNanos - startNanos) / 1_000);
-    if (outcome == WriteOutcome.ACKNOWLEDGED) {
-      acknowledged.add(new Acknowledged(database, startNanos, endNanos));
-      writeMicros.recordValue(micros);
-    } else if (outcome == WriteOutcome.NOT_RUN) {
+    if (outcome == WriteOutcome.NOT_RUN) {
       refusalMicros.recordValue(micros);
     }
   }
@@ -61,6 +96,18 @@
     readMicros.recordValue(Math.min(MAX_MICROS, (endNanos - startNanos) / 1_000));
   }
 
+  void ownRead(String booking, int found) {
+    ownReads.add(new OwnRead(booking, found));
+  }
+
+  void agedRead(String database, long ageMillis, long limitMillis) {
+    agedReads.add(new AgedRead(database, ageMillis, limitMillis));
+  }
+
+  void requestFailed(String request, String sqlState, String message) {
+    failedRequests.add(new FailedRequest(request, sqlState, message, System.nanoTime()));
+  }
+
   void readFailed() {
     readErrors.incrementAndGet();
   }
@@ -125,6 +172,33 @@
     return List.copyOf(reads);
   }
 
+  /**
+   * Returns the reads of bookings that the reading session had made.
+   *
+   * @return reads with what they found
+   */
+  public List<OwnRead> ownReads() {
+    return List.copyOf(ownReads);
+  }
+
+  /**
+   * Returns the reads whose age is known.
+   *
+   * @return reads with age and limit
+   */
+  public List<AgedRead> agedReads() {
+    return List.copyOf(agedReads);
+  }
+
+  /**
+   * Returns the requests that the product answered with an error.
+   *
+   * @return failed requests
+   */
+  public List<FailedRequest> failedRequests() {
+    return List.copyOf(failedRequests);
+  }
+
   /**
    * Returns the number of stale reads.
    *
--- a/lab/src/main/java/org/streamcourse/lab/workload/Verification.java
+++ b/lab/src/main/java/org/streamcourse/lab/workload/Verification.java
@@ -29,23 +29,24 @@
    * @throws Exception when a database can't be read
    */
   public static Verification of(Fleet fleet, Journal journal) throws Exception {
+    WriteComparison compared = WriteComparison.of(journal.writes(), found(fleet));
+    return new Verification(
+        compared.lost().size(), compared.duplicates().size(), compared.falseNotRun().size());
+  }
+
+  /**
+   * Reads all bookings of all databases through the fleet.
+   *
+   * @param fleet the fleet
+   * @return how often each booking is there, by id
+   * @throws Exception when a database can't be read
+   */
+  public static Map<String, Integer> found(Fleet fleet) throws Exception {
     Map<String, Integer> found = new HashMap<>();
     for (String database : fleet.profile().databases()) {
       readAll(fleet, database, found);
     }
-    long lost = 0;
-    long falseNotRun = 0;
-    for (Map.Entry<String, WriteOutcome> write : journal.writes().entrySet()) {
-      boolean there = found.containsKey(write.getKey());
-      if (write.getValue() == WriteOutcome.ACKNOWLEDGED && !there) {
-        lost++;
-      }
-      if (write.getValue() == WriteOutcome.NOT_RUN && there) {
-        falseNotRun++;
-      }
-    }
-    long duplicates = found.values().stream().filter(count -> count > 1).count();
-    return new Verification(lost, duplicates, falseNotRun);
+    return found;
   }
 
   private static void readAll(Fleet fleet, String database, Map<String, Integer> found)
--- a/server/src/main/java/org/streamcourse/connection/frontend/ConnectionSession.java
+++ b/server/src/main/java/org/streamcourse/connection/frontend/ConnectionSession.java
@@ -38,7 +38,7 @@
   private final SessionParameters parameters = new SessionParameters();
   private final PreparedStatements statements = new PreparedStatements();
   private final RequestExecutor executor;
-  private final RequestLog log = new RequestLog();
+  private final RequestLog log;
   private final Deque<WireMessage> queue = new ArrayDeque<>();
   private final AnswerFilter filter = new AnswerFilter();
   private ExtendedUnit unit;
@@ -79,6 +79,7 @@
     this.settings = settings;
     this.group = group;
     this.user = user;
+    this.log = new RequestLog(edge.self(), group, edge.failuresTold());
     this.executor = new RequestExecutor(edge, worker, this);
     this.unit = newUnit();
   }
@@ -349,6 +350,7 @@
 
   private void run(StatementClass statementClass, byte[] messages, boolean endsWithReady) {
     running = true;
+    log.started();
     runningEndsWithReady = endsWithReady;
     runningEndsTransaction = statementClass.endsTransaction();
     boolean inTransaction = executor.isPinned();
@@ -414,7 +416,6 @@
   }
 
   private void start(Purpose purpose, Unit sent) {
-    log.started();
     List<String> parameterStatements = parameters.statements();
     executor.start(
         new Request(
@@ -456,8 +457,8 @@
     if (!running) {
       return;
     }
-    log.failed(error);
-    channel.send(ErrorAnswers.of("ERROR", error));
+    log.failed(error, executor.trace(), worker.now());
+    channel.send(ErrorAnswers.of("ERROR", error, log.requestId()));
     if (!runningEndsWithReady) {
       skipUntilSync = true;
       unit = newUnit();
--- a/server/src/main/java/org/streamcourse/connection/frontend/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/connection/frontend/RequestLog.java
@@ -1,38 +1,94 @@
 package org.streamcourse.connection.frontend;
 
+import static net.logstash.logback.argument.StructuredArguments.keyValue;
+
 import java.util.concurrent.atomic.AtomicLong;
-import net.logstash.logback.argument.StructuredArguments;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
+import org.streamcourse.process.LineBudget;
 import org.streamcourse.process.StreamcourseException;
+import org.streamcourse.request.edge.RequestTrace;
+import org.streamcourse.version.image.NodeImage;
 
 /**
- * Logs the errors of one session's requests with their code, step, peer, session and request. A
- * request that was not run is logged at DEBUG only, since under overload there are many.
+ * Logs the errors of one session's requests: a line for each attempt, and one with code, step and
+ * peer. Under overload many requests are not run, so the failed requests that a node tells in a
+ * second are bounded.
+ *
+ * <p>A request's id is the node's name, its incarnation in base 36, the session's number and the
+ * number of the request in it, so it is unique over nodes and restarts.
  */
 final class RequestLog {
   private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
   private static final AtomicLong SESSIONS = new AtomicLong();
+  private static final int BASE = 36;
 
-  private final long session = SESSIONS.incrementAndGet();
+  private final String session;
+  private final String database;
+  private final LineBudget budget;
   private long request;
 
+  RequestLog(NodeImage node, String database, LineBudget budget) {
+    this.session =
+        node.name()
+            + '-'
+            + Long.toString(node.incarnation(), BASE)
+            + '-'
+            + SESSIONS.incrementAndGet();
+    this.database = database;
+    this.budget = budget;
+  }
+
   /** Counts a request that starts. */
   void started() {
     request++;
   }
 
-  /** Logs how the present request failed. */
-  void failed(StreamcourseException error) {
-    LOG.atLevel(error.code().isNotRun() ? Level.DEBUG : Level.INFO)
-        .log(
-            "request failed: {} {} {} {} {} {}",
-            error.getMessage(),
-            StructuredArguments.keyValue("code", error.code()),
-            StructuredArguments.keyValue("step", error.step()),
-            StructuredArguments.keyValue("peer", error.peer()),
-            StructuredArguments.keyValue("session", session),
-            StructuredArguments.keyValue("request", request));
+  /** Returns the id of the present request. */
+  String requestId() {
+    return session + '-' + request;
+  }
+
+  /** Logs how the present request failed, and what was tried before. */
+  void failed(StreamcourseException error, RequestTrace trace, long nowMillis) {
+    if (!budget.take()) {
+      return;
+    }
+    tellDropped();
+    trace.attempts().forEach(each -> attempted(each, nowMillis));
+    LOG.info(
+        "request failed: {} {} {} {} {} {} {} {}",
+        error.getMessage(),
+        keyValue("request", requestId()),
+        keyValue("database", database),
+        keyValue("code", error.code()),
+        keyValue("step", error.step()),
+        keyValue("peer", error.peer()),
+        keyValue("attemptsNotTold", trace.omitted()),
+        keyValue("tookMillis", nowMillis - trace.startedMillis()));
+  }
+
+  private void attempted(RequestTrace.Attempt attempt, long nowMillis) {
+    LOG.info(
+        "request attempt {} {} {} {} {} {} {} {} {} {} {} {}",
+        keyValue("request", requestId()),
+        keyValue("database", database),
+        keyValue("member", attempt.member()),
+        keyValue("gateway", attempt.gateway()),
+        keyValue("step", attempt.step()),
+        keyValue("outcome", attempt.outcome()),
+        keyValue("floor", attempt.floor()),
+        keyValue("applied", attempt.applied()),
+        keyValue("term", attempt.term()),
+        keyValue("imageVersion", attempt.imageVersion()),
+        keyValue("startedMillisAgo", nowMillis - attempt.startedMillis()),
+        keyValue("tookMillis", attempt.endedMillis() - attempt.startedMillis()));
+  }
+
+  private void tellDropped() {
+    long dropped = budget.takeDropped();
+    if (dropped > 0) {
+      LOG.warn("lines dropped {}", keyValue("lines", dropped));
+    }
   }
 }
--- a/server/src/main/java/org/streamcourse/process/StreamcourseCommand.java
+++ b/server/src/main/java/org/streamcourse/process/StreamcourseCommand.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.streamcourse.connection.admin.Console;
+import org.streamcourse.process.explain.ExplainCommand;
 import org.streamcourse.process.settings.ControllerSettings;
 import org.streamcourse.process.settings.HostPort;
 import org.streamcourse.process.settings.ProxySettings;
@@ -30,6 +31,7 @@
       StreamcourseCommand.ProxyCommand.class,
       StreamcourseCommand.CheckConfigCommand.class,
       StreamcourseCommand.ConsoleCommand.class,
+      ExplainCommand.class,
       StreamcourseCommand.SettingsReferenceCommand.class
     })
 public final class StreamcourseCommand {
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/process/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Explains one request from the logs of all processes. */
+package org.streamcourse.process.explain;
--- a/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
+++ b/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.streamcourse.connection.peer.PeerNetwork;
 import org.streamcourse.process.FleetKey;
+import org.streamcourse.process.LineBudget;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.StreamMessage;
 import org.streamcourse.request.StreamMessage.Broken;
@@ -21,6 +22,7 @@
 import org.streamcourse.version.control.NodeAgent;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.GroupImage;
+import org.streamcourse.version.image.NodeImage;
 import org.streamcourse.version.image.TermPosition;
 
 /**
@@ -30,6 +32,9 @@
 public final class EdgeNode {
   private static final int CHECKS_IN_GRACE = 3;
 
+  /** Failed requests that are told in a second; each takes at most 13 lines. */
+  private static final int TOLD_PER_SECOND = 50;
+
   private final Worker worker;
   private final PeerNetwork network;
   private final NodeAgent agent;
@@ -37,6 +42,8 @@
   private final FleetKey fleetKey;
   private final MemberScores scores;
   private final ReadRouter router;
+
+  private final LineBudget failuresTold;
   private final RetryBudget retryBudget = new RetryBudget();
   private final WaitingRequests waiting = new WaitingRequests();
   private final StatementClassifier classifier = new StatementClassifier();
@@ -72,6 +79,7 @@
     this.settings = settings;
     this.fleetKey = fleetKey;
     this.random = random;
+    this.failuresTold = new LineBudget(TOLD_PER_SECOND, worker::now);
     this.scores = new MemberScores(agent.self().place());
     this.router = new ReadRouter(policy, scores, random);
     this.floorReader = new FloorReader(worker, network, this);
@@ -87,6 +95,24 @@
 
   // ---- shared by sessions ----
 
+  /**
+   * Returns this node as the controllers know it.
+   *
+   * @return name and incarnation
+   */
+  public NodeImage self() {
+    return agent.self();
+  }
+
+  /**
+   * Returns what bounds the lines about failed requests.
+   *
+   * @return budget that all sessions of this node share
+   */
+  public LineBudget failuresTold() {
+    return failuresTold;
+  }
+
   /**
    * Returns the image in force.
    *
--- a/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
+++ b/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
@@ -19,6 +19,7 @@
 import org.streamcourse.request.StreamMessage.Unit;
 import org.streamcourse.request.StreamMessage.UnitDone;
 import org.streamcourse.version.image.GroupImage;
+import org.streamcourse.version.image.TermPosition;
 import reactor.core.Disposable;
 
 /**
@@ -74,6 +75,7 @@
   /** When the edge first saw that the primary of the present attempt was replaced. */
   private long replacedAt = NOT_REPLACED;
 
+  private final RequestTrace trace = new RequestTrace();
   private volatile long lastHeardMillis;
 
   /**
@@ -102,6 +104,7 @@
     overloadRetryMillis = 0;
     breaks = 0;
     pauseMillis = FIRST_PAUSE_MILLIS;
+    trace.begin(worker.now());
     edge.retryBudget().requestStarted();
     deadline = worker.now() + budget();
     chooseTargets();
@@ -115,6 +118,8 @@
    */
   public void next(Unit unit) {
     active = true;
+    attemptStartedAt = now();
+    trace.begin(attemptStartedAt);
     edge.network().send(current.gateway(), new NextUnit(streamId, unit, budget()));
   }
 
@@ -182,6 +187,7 @@
       return;
     }
     if (!edge.isServing()) {
+      noteWithoutTarget("the controllers do not confirm this node");
       pauseThenRetry();
       return;
     }
@@ -220,9 +226,53 @@
       fail(ErrorCode.OVERLOADED, "admit", "", detail, overloadRetryMillis);
       return;
     }
+    if (targets.isEmpty()) {
+      noteWithoutTarget("no member is known that may take it");
+    }
     pauseThenRetry();
   }
 
+  private void noteWithoutTarget(String why) {
+    long now = now();
+    long term = seenGroup == null ? 0 : seenGroup.term();
+    trace.add(
+        new RequestTrace.Attempt(
+            "",
+            "",
+            "route",
+            why,
+            request.floor(),
+            TermPosition.ZERO,
+            term,
+            edge.image().version(),
+            now,
+            now));
+  }
+
+  private void noteAttempt(String step, String outcome, TermPosition applied) {
+    trace.add(
+        new RequestTrace.Attempt(
+            current.member().name(),
+            current.gateway(),
+            step,
+            outcome,
+            request.floor(),
+            applied,
+            openedInTerm,
+            edge.image().version(),
+            attemptStartedAt,
+            now()));
+  }
+
+  /**
+   * Returns what was tried for the present request.
+   *
+   * @return attempts that led to no answer
+   */
+  public RequestTrace trace() {
+    return trace;
+  }
+
   /** Tries again after a pause, or as soon as the group's image has changed. */
   private void pauseThenRetry() {
     if (now() + pauseMillis >= deadline) {
@@ -310,6 +360,7 @@
   private void onRefused(Refused refused) {
     edge.closeStream(streamId);
     pinned = false;
+    noteAttempt("admit", refused.refusal().name(), refused.applied());
     switch (refused.refusal()) {
       case OVERLOADED -> {
         overloadRetryMillis = Math.max(1, refused.retryAfterMillis());
@@ -351,6 +402,7 @@
     if (!active && !pinned) {
       return;
     }
+    noteAttempt(step, detail, TermPosition.ZERO);
     edge.network().send(current.gateway(), new CloseStream(streamId));
     edge.closeStream(streamId);
     boolean wasPinned = pinned;
@@ -380,6 +432,7 @@
       onBroken("link", "the gateway can't be reached");
       return;
     }
+    noteAttempt("link", "not delivered to the gateway", TermPosition.ZERO);
     edge.closeStream(streamId);
     edge.scores().failed(request.group(), current.member(), now());
     attempt();
