--- a/server/src/main/java/org/streamcourse/process/StreamcourseCommand.java
+++ b/server/src/main/java/org/streamcourse/process/StreamcourseCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.streamcourse.connection.admin.Console;
 import org.streamcourse.process.explain.ExplainCommand;
+import org.streamcourse.process.logging.LogFlush;
 import org.streamcourse.process.settings.ControllerSettings;
 import org.streamcourse.process.settings.HostPort;
 import org.streamcourse.process.settings.ProxySettings;
@@ -68,6 +69,7 @@
   private static void runUntilStopped(Runnable stop) throws InterruptedException {
     CountDownLatch stopping = new CountDownLatch(1);
     CountDownLatch stopped = new CountDownLatch(1);
+    LogFlush.waitFor(stopped);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
--- a/server/src/main/java/org/streamcourse/process/logging/JsonLogConfigurator.java
+++ b/server/src/main/java/org/streamcourse/process/logging/JsonLogConfigurator.java
@@ -45,7 +45,8 @@
         .setLevel(Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO));
     context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.INFO);
     context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).addAppender(queue);
-    Runtime.getRuntime().addShutdownHook(new Thread(context::stop, "log-flush"));
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> LogFlush.endAfterStops(context::stop), "log-flush"));
     return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
   }
 
