Holders: one owner of a member's connections shares out its slots

Cause: of four holders each saw its own part of a member; together they sent it more than its slots take, and a member rejects what it can't run.

Change: one node near a member owns its connections and slots (MemberSlots), two stand by and ask it too. A request is granted a link only with a slot free; a command of a unit that has its link goes first. Tenants wait in turn. MemberLinks is parted: LinkPool, LinkDispatcher, RelayedLinks.

StatementRelayTest and LinkSharesTest named four equal holders; they now name an owner and two standbys, and what standbys may not do.

--- a/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.streamcourse.version.image.TenantId;
 
 /** Open links that no session uses; the one that was used last is handed out first. */
 final class IdleLinks {
@@ -11,6 +12,25 @@
     return links.isEmpty();
   }
 
+  /** Whether one of them serves a request. */
+  boolean serves(LinkRequest request) {
+    for (MemberLink link : links) {
+      if (request.isServedBy(link.tenant())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Number of links of a tenant. */
+  int of(TenantId tenant) {
+    int count = 0;
+    for (MemberLink link : links) {
+      count += link.tenant().equals(tenant) ? 1 : 0;
+    }
+    return count;
+  }
+
   void add(MemberLink link) {
     links.addFirst(link);
   }
--- a/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
@@ -28,6 +28,11 @@
     return standsIn && share.links() == 0 ? share.standInLinks() : share.links();
   }
 
+  /** Whether another node is asked first although this one holds links. */
+  boolean asksOwnerFirst() {
+    return share.role() == LinkShare.Role.STANDBY;
+  }
+
   /** Begins to stand in, or goes on, where it may; returns whether it begins. */
   boolean standIn(long now) {
     standsInUntilMillis = now + STAND_IN_MILLIS;
--- a/server/src/main/java/org/streamcourse/connection/member/LinkQueue.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkQueue.java
@@ -13,12 +13,13 @@
 import org.streamcourse.version.image.TenantId;
 
 /**
- * Requests that wait for a link to one member, by priority and, among equals, in the order in which
- * they came. One that has waited for as long as it may is refused.
+ * Requests that wait for a link to one member: by priority; among equals tenants in turn, so that
+ * one tenant's many requests delay another's by one request each; within a turn the one whose time
+ * is over first. One that has waited for as long as it may is refused.
  *
- * <p>A link that becomes free goes to the first request of its own tenant, since a link for another
- * one must be opened first. Others are passed over for a few times as long as openings take now
- * ({@link LinkOpenings#passOverMillis}).
+ * <p>A link that is free goes to the first request of its own tenant, since a link for another one
+ * must be opened first. Others are passed over for a few times as long as openings take now ({@link
+ * LinkOpenings#passOverMillis}).
  *
  * <p>All methods run on the proxy's worker.
  */
@@ -32,16 +33,22 @@
   /** Requests that may wait for each link of this node's share. */
   private static final int MOST_WAITING_A_LINK = 16;
 
-  private record Waiter(LinkRequest request, long number, long sinceMillis) {}
+  private record Waiter(
+      LinkRequest request, long turn, long deadlineMillis, long number, long sinceMillis) {}
 
   private static final Comparator<Waiter> FIRST_SERVED_FIRST =
       Comparator.comparingInt((Waiter each) -> each.request().priority())
+          .thenComparingLong(Waiter::turn)
+          .thenComparingLong(Waiter::deadlineMillis)
           .thenComparingLong(Waiter::number);
 
   private final Worker worker;
   private final LongSupplier estimatedWaitMillis;
   private final LinkOpenings openings;
   private final TreeSet<Waiter> waiting = new TreeSet<>(FIRST_SERVED_FIRST);
+  private final Map<Integer, Integer> countByPriority = new HashMap<>();
+  private final Map<TenantId, Long> lastTurns = new HashMap<>();
+  private long presentTurn;
   private long numbers;
 
   /**
@@ -70,35 +77,60 @@
       return false;
     }
     numbers++;
-    Waiter waiter = new Waiter(request, numbers, worker.now());
-    waiting.add(waiter);
     long longest = request.maxWaitMillis();
+    long now = worker.now();
+    Waiter waiter = new Waiter(request, nextTurn(request.tenant()), now + longest, numbers, now);
+    waiting.add(waiter);
+    countByPriority.merge(request.priority(), 1, Integer::sum);
     long wait = estimateMillis > longest ? Math.round(CROWDED_WAIT_SHARE * longest) : longest;
     worker.schedule(wait, () -> expire(waiter));
     return true;
   }
 
+  /** Requests without a tenant are all of the same turn, so the earliest deadline goes first. */
+  private long nextTurn(TenantId tenant) {
+    if (!tenant.isPresent()) {
+      return presentTurn;
+    }
+    long turn = Math.max(presentTurn, lastTurns.getOrDefault(tenant, 0L)) + 1;
+    lastTurns.put(tenant, turn);
+    return turn;
+  }
+
   private void expire(Waiter waiter) {
-    if (waiting.remove(waiter)) {
+    if (remove(waiter)) {
       waiter
           .request()
           .refused("no connection became free in time", estimatedWaitMillis.getAsLong());
     }
   }
 
+  private boolean remove(Waiter waiter) {
+    boolean removed = waiting.remove(waiter);
+    if (removed) {
+      countByPriority.merge(waiter.request().priority(), -1, Integer::sum);
+    }
+    if (waiting.isEmpty()) {
+      lastTurns.clear();
+      presentTurn = 0;
+    }
+    return removed;
+  }
+
   /**
-   * Takes the next request that a free link serves.
+   * Takes the next request that can be served.
    *
-   * @param owner tenant of the link
+   * @param servable tells whether there are a free link and a slot for a request
    * @return request, or null when none fits or another tenant has been passed over for long enough
    */
-  LinkRequest poll(TenantId owner) {
+  LinkRequest poll(Predicate<LinkRequest> servable) {
     for (Waiter each : waiting) {
-      if (each.request().isServedBy(owner)) {
-        waiting.remove(each);
+      if (servable.test(each.request())) {
+        presentTurn = Math.max(presentTurn, each.turn());
+        remove(each);
         return each.request();
       }
-      if (isPassedOver(each) && openings.of(each.request().tenant()) == 0) {
+      if (isPassedOver(each) && openings.mayBegin() && openings.of(each.request().tenant()) == 0) {
         return null;
       }
     }
@@ -112,14 +144,16 @@
    * each statement, and members rejected 40% of all arrivals.
    *
    * @param inUse tells how many links of a tenant are in use
+   * @param idle tells how many links of a tenant are idle, for want of a slot
    * @return tenant, or nothing when links are coming to all requests
    */
-  Optional<TenantId> firstWithoutLink(ToIntFunction<TenantId> inUse) {
+  Optional<TenantId> firstWithoutLink(ToIntFunction<TenantId> inUse, ToIntFunction<TenantId> idle) {
     Map<TenantId, Integer> requests = new HashMap<>();
     for (Waiter each : waiting) {
       TenantId tenant = each.request().tenant();
-      int coming = openings.of(tenant) + (isPassedOver(each) ? 0 : inUse.applyAsInt(tenant));
-      if (requests.merge(tenant, 1, Integer::sum) > coming) {
+      int soonFree = isPassedOver(each) ? 0 : inUse.applyAsInt(tenant);
+      int links = openings.of(tenant) + idle.applyAsInt(tenant) + soonFree;
+      if (requests.merge(tenant, 1, Integer::sum) > links) {
         return Optional.of(tenant);
       }
     }
@@ -130,6 +164,17 @@
     return worker.now() - waiter.sinceMillis() > openings.passOverMillis();
   }
 
+  /** Work that waits, in milliseconds of a slot, of requests that go before a priority's. */
+  long workMillis(int priority, WorkTimes units) {
+    long work = 0;
+    for (Map.Entry<Integer, Integer> each : countByPriority.entrySet()) {
+      if (each.getKey() <= priority) {
+        work += each.getValue() * units.averageMillis(each.getKey());
+      }
+    }
+    return work;
+  }
+
   /** Takes all requests, in order. */
   List<LinkRequest> takeAll() {
     return takeIf(any -> true);
@@ -138,7 +183,7 @@
   /** Takes the requests that a condition holds for, in order; the others wait on. */
   List<LinkRequest> takeIf(Predicate<LinkRequest> condition) {
     List<Waiter> taken = waiting.stream().filter(each -> condition.test(each.request())).toList();
-    taken.forEach(waiting::remove);
+    taken.forEach(this::remove);
     return taken.stream().map(Waiter::request).toList();
   }
 
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -38,14 +38,20 @@
     void ended(MemberLink link, Answer refusal, String cause);
   }
 
-  private record Outstanding(CommandListener listener, long sentMillis) {}
+  /** A command that was sent; {@code slot} is null when it takes none of the member's slots. */
+  private record Outstanding(CommandListener listener, long sentMillis, MemberSlots.Use slot) {}
+
+  /** A command that waits for one of the member's slots, or behind one that does. */
+  private record Waiting(MemberCommand command, CommandListener listener) {}
 
   private final Worker worker;
   private final String service;
   private final MemberId member;
   private final TenantId tenant;
   private final Owner owner;
+  private final MemberSlots slots;
   private final Deque<Outstanding> outstanding = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
   private final Map<String, String> values = new HashMap<>();
   private final Map<PreparedShape, String> prepared = new LinkedHashMap<>();
   private MemberChannel channel;
@@ -54,13 +60,21 @@
   private boolean relayed;
   private boolean ended;
   private boolean rollingBack;
+  private long slotMillis;
   private Runnable rolledBack = () -> {};
 
-  MemberLink(Worker worker, String service, MemberId member, TenantId tenant, Owner owner) {
+  MemberLink(
+      Worker worker,
+      String service,
+      MemberId member,
+      TenantId tenant,
+      MemberSlots slots,
+      Owner owner) {
     this.worker = worker;
     this.service = service;
     this.member = member;
     this.tenant = tenant;
+    this.slots = slots;
     this.owner = owner;
   }
 
@@ -252,20 +266,64 @@
     channel.flush();
   }
 
+  /** Sends a command behind the others; it waits while the member has no slot for it. */
   void send(MemberCommand command, CommandListener listener) {
-    outstanding.addLast(new Outstanding(listener, worker.now()));
-    if (channel != null) {
-      channel.send(command);
+    waiting.addLast(new Waiting(command, listener));
+    sendUntilOneWaits();
+  }
+
+  /** A slot is free for the first command that waits. */
+  void sendWaiting() {
+    sendUntilOneWaits();
+    flush();
+  }
+
+  private void sendUntilOneWaits() {
+    while (!waiting.isEmpty()) {
+      Waiting next = waiting.peekFirst();
+      MemberSlots.Use slot = null;
+      if (!relayed && MemberSlots.isTakenBy(next.command())) {
+        slot = slots.take(this);
+        if (slot == null) {
+          return;
+        }
+      }
+      waiting.pollFirst();
+      outstanding.addLast(new Outstanding(next.listener(), worker.now(), slot));
+      if (channel != null) {
+        channel.send(next.command());
+      }
     }
   }
 
+  /**
+   * Takes back a command that waits for a slot, which its listener does not hear.
+   *
+   * @return false when the member may have been asked something, so that the link can't go on
+   */
+  public boolean withdraw() {
+    if (waiting.isEmpty() || !outstanding.isEmpty()) {
+      return false;
+    }
+    waiting.clear();
+    slots.forget(this);
+    return true;
+  }
+
+  /** Time for which its commands took slots since this was last asked, in milliseconds. */
+  long takeSlotMillis() {
+    long taken = slotMillis;
+    slotMillis = 0;
+    return taken;
+  }
+
   /**
    * Tells whether the member may have run what was sent last.
    *
    * @return false while it has certainly not arrived there
    */
   public boolean mayHaveRun() {
-    return channel != null && channel.mayHaveRun();
+    return channel != null && waiting.isEmpty() && channel.mayHaveRun();
   }
 
   /** Closes the link; commands without an answer are lost. */
@@ -342,7 +400,14 @@
       return;
     }
     state = answer.state();
+    if (command.slot() != null) {
+      slotMillis += command.slot().tookMillis(worker.now());
+    }
     command.listener().answered(answer);
+    // After the listener: what follows at once on this link waits behind what waited before.
+    if (command.slot() != null) {
+      slots.release(command.slot());
+    }
   }
 
   @Override
@@ -352,8 +417,13 @@
     }
     ended = true;
     List<Outstanding> lost = List.copyOf(outstanding);
+    List<Waiting> unsent = List.copyOf(waiting);
     outstanding.clear();
+    waiting.clear();
+    slots.forget(this);
+    lost.stream().filter(each -> each.slot() != null).forEach(each -> slots.lost(each.slot()));
     owner.ended(this, null, cause);
     lost.forEach(each -> each.listener().lost(cause));
+    unsent.forEach(each -> each.listener().lost(cause));
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -1,9 +1,5 @@
 package org.streamcourse.connection.member;
 
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.process.Worker;
@@ -49,18 +45,13 @@
   private final LinkOpenings openings;
   private final String service;
   private final MemberHealth health;
-  private final Set<MemberLink> links = new LinkedHashSet<>();
-  private final LinksInUse inUse = new LinksInUse();
-  private final IdleLinks idle = new IdleLinks();
-  private final LinkQueue waiting;
-  private final MemberRelay relay;
+  private final LinkPool pool = new LinkPool();
+  private final LinkDispatcher dispatcher;
+  private final RelayedLinks relayed;
   private RegisteredMember member;
   private final LinkAllowance allowance = new LinkAllowance();
-  private long noRelayBeforeMillis;
-  private long handedOver;
   private boolean retired;
   private final Departure departure = new Departure();
-  private final HoldTimes holdTimes = new HoldTimes();
 
   /**
    * Creates the links of a member; none is opened yet.
@@ -82,11 +73,11 @@
     this.worker = worker;
     this.dialer = dialer;
     this.openings = new LinkOpenings(worker, dialer);
-    this.relay = relay;
     this.service = service;
     this.member = member;
     this.health = new MemberHealth(worker, service + '/' + member.id(), onHealthChange);
-    this.waiting = new LinkQueue(worker, this::estimatedWaitMillis, openings);
+    this.dispatcher = new LinkDispatcher(worker, pool, allowance, openings, this::open);
+    this.relayed = new RelayedLinks(worker, relay, service, member.id(), dispatcher.slots(), this);
   }
 
   /**
@@ -107,14 +98,15 @@
   public void update(RegisteredMember agreed, LinkShare agreedShare) {
     member = agreed;
     allowance.update(agreedShare);
+    dispatcher.slots().update(agreedShare.slots());
     if (member.draining() && departure.begins(worker.now())) {
       refuseWaiting("the member leaves");
       worker.schedule(Departure.PRIMARY_MILLIS, this::closeSpare);
     }
     closeSpare();
     if (!holdsLinks()) {
-      waiting.takeAll().forEach(this::acquire);
-    } else if (links.isEmpty() && !member.draining()) {
+      dispatcher.takeWaiting().forEach(this::acquire);
+    } else if (pool.isEmpty() && !member.draining()) {
       open(TenantId.NONE);
     }
   }
@@ -140,7 +132,7 @@
   }
 
   private void endStandIn() {
-    if (allowance.mayEnd(worker.now()) && inUse.isEmpty()) {
+    if (allowance.mayEnd(worker.now()) && pool.inUse().isEmpty()) {
       LOG.info("no longer stands in for the holders of {}/{}", service, member.id());
       allowance.end();
       closeSpare();
@@ -155,9 +147,7 @@
   }
 
   private void closeSpare() {
-    while (!idle.isEmpty() && (takesNothing() || links.size() > allowance.most())) {
-      idle.takeOldest().close();
-    }
+    pool.closeIdleBeyond(takesNothing() ? 0 : allowance.most());
   }
 
   /**
@@ -179,7 +169,12 @@
   }
 
   private boolean canBeAsked() {
-    return holdsLinks() ? !health.isUnreachable() : worker.now() >= noRelayBeforeMillis;
+    return holdsLinks() && !asksOthersFirst() ? !health.isUnreachable() : relayed.mayBeAsked();
+  }
+
+  /** Whether another node is asked although this one has links, unless none could help lately. */
+  private boolean asksOthersFirst() {
+    return allowance.asksOwnerFirst() && relayed.mayBeAsked();
   }
 
   private boolean takesNothing() {
@@ -210,7 +205,7 @@
    * @return links handed out
    */
   public int used() {
-    return inUse.size();
+    return pool.inUse().size();
   }
 
   /**
@@ -219,7 +214,7 @@
    * @return count since the member is known
    */
   public long handedOver() {
-    return handedOver;
+    return pool.handedOver();
   }
 
   /**
@@ -228,12 +223,9 @@
    * @return milliseconds
    */
   public long estimatedWaitMillis() {
-    if (!holdsLinks()) {
-      return 0;
-    }
-    boolean room = !idle.isEmpty() || links.size() < allowance.most();
-    int places = Math.min(allowance.most(), links.size());
-    return room && waiting.isEmpty() ? 0 : holdTimes.untilServed(waiting.size() + 1, places);
+    return holdsLinks() && !asksOthersFirst()
+        ? dispatcher.estimatedWaitMillis(Integer.MAX_VALUE)
+        : 0;
   }
 
   // ---- requests ----
@@ -253,60 +245,36 @@
       request.refused("this node holds no connections to the member any more", RETRY_MILLIS);
       return;
     }
-    if (!holdsLinks() || (hasNone() && mayAskOthers(request))) {
+    if (!holdsLinks() || (prefersOthers() && mayAskOthers(request))) {
       acquireByRelay(request);
       return;
     }
-    MemberLink link = idle.take(request);
-    if (link != null) {
-      grant(request, link);
-      return;
-    }
-    waitForLink(request);
+    dispatcher.serveOrWait(request);
+  }
+
+  private boolean prefersOthers() {
+    return asksOthersFirst() || hasNone();
   }
 
   /** No link stands, and the member has just refused one. */
   private boolean hasNone() {
-    return links.isEmpty() && openings.pauseMillis() > 0;
+    return pool.isEmpty() && openings.pauseMillis() > 0;
   }
 
   private boolean mayAskOthers(LinkRequest request) {
     return request.mayGoThroughOthers() && !allowance.share().holders().isEmpty();
   }
 
-  private void waitForLink(LinkRequest request) {
-    long estimate = estimatedWaitMillis();
-    if (waiting.add(request, estimate, allowance.most())) {
-      openForWaiting();
-    } else {
-      long retryAfter = Math.max(estimate, openings.pauseMillis() + 1);
-      request.refused("all connections of this node are in use", retryAfter);
-    }
-  }
-
   private void acquireByRelay(LinkRequest request) {
-    MemberLink link = new MemberLink(worker, service, member.id(), request.tenant(), this);
-    LinkShare share = allowance.share();
-    MemberRelay.Target target =
-        new MemberRelay.Target(service, member.id(), share.holders(), share.standIns());
-    MemberChannel channel =
-        relay.open(target, request, link, millis -> noRelayBeforeMillis = worker.now() + millis);
-    if (channel == null && holdsLinks()) {
-      waitForLink(request);
-      return;
-    }
-    if (channel == null) {
-      noRelayBeforeMillis = worker.now() + RETRY_MILLIS;
+    MemberLink link = relayed.open(request, allowance.share());
+    if (link != null) {
+      dispatcher.grant(request, link);
+    } else if (holdsLinks()) {
+      dispatcher.serveOrWait(request);
+    } else {
+      relayed.rest(RETRY_MILLIS);
       request.refused("no node that holds connections to the member answers", RETRY_MILLIS);
-      return;
     }
-    link.openThrough(channel);
-    grant(request, link);
-  }
-
-  private void grant(LinkRequest request, MemberLink link) {
-    inUse.add(link, worker.now());
-    request.granted(link);
   }
 
   /**
@@ -315,28 +283,19 @@
    * @param link link that was granted
    */
   public void release(MemberLink link) {
-    Long since = inUse.remove(link);
+    dispatcher.endUse(link);
     if (link.isRelayed()) {
       link.close();
       return;
     }
-    if (since != null) {
-      holdTimes.add(worker.now() - since);
-    }
     if (!link.isOpen()) {
       return;
     }
-    if (takesNothing() || links.size() > allowance.most()) {
+    if (takesNothing() || pool.size() > allowance.most()) {
       link.close();
       return;
     }
-    LinkRequest next = waiting.poll(link.tenant());
-    if (next == null) {
-      idle.add(link);
-      openForWaiting();
-    } else {
-      grant(next, link);
-    }
+    dispatcher.addIdle(link);
   }
 
   /**
@@ -364,49 +323,27 @@
   }
 
   private void refuseWaiting(String cause) {
-    waiting.takeAll().forEach(each -> each.refused(cause, RETRY_MILLIS));
+    dispatcher.takeWaiting().forEach(each -> each.refused(cause, RETRY_MILLIS));
   }
 
   // ---- connections ----
 
-  private void openForWaiting() {
-    Optional<TenantId> next = waiting.firstWithoutLink(inUse::of);
-    if (next.isPresent() && openings.mayBegin() && makeRoom()) {
-      open(next.get());
-    }
-  }
-
-  /** Ends an idle link where all of the share stand; returns whether one may be opened. */
-  private boolean makeRoom() {
-    return links.size() < allowance.most() || endLeastUsed();
-  }
-
-  private boolean endLeastUsed() {
-    MemberLink leastUsed = idle.takeOldest();
-    if (leastUsed == null) {
-      return false;
-    }
-    links.remove(leastUsed);
-    leastUsed.close();
-    handedOver++;
-    return true;
-  }
-
   private void open(TenantId tenant) {
     if (retired || openings.pauseMillis() > 0) {
       return;
     }
-    MemberLink link = new MemberLink(worker, service, member.id(), tenant, this);
-    links.add(link);
+    MemberLink link =
+        new MemberLink(worker, service, member.id(), tenant, dispatcher.slots(), this);
+    pool.add(link);
     openings.begin(link, member);
   }
 
   @Override
   public void opened(MemberLink link) {
     openings.end(link);
-    health.reached(links.size() == 1);
+    health.reached(pool.size() == 1);
     release(link);
-    openForWaiting();
+    dispatcher.openForWaiting();
   }
 
   @Override
@@ -418,29 +355,28 @@
 
   @Override
   public void ended(MemberLink link, Answer refusal, String cause) {
-    if (link.isRelayed() || !links.remove(link)) {
+    if (link.isRelayed() || !pool.remove(link)) {
       return;
     }
-    idle.remove(link);
     boolean neverOpened = openings.end(link);
     if (refusal != null) {
       refusedLink(refusal);
     } else if (neverOpened) {
       openings.pause(RETRY_MILLIS);
-      if (!health.heardLately() || links.isEmpty()) {
+      if (!health.heardLately() || pool.isEmpty()) {
         markUnreachable(cause);
       }
     }
-    if (links.isEmpty()
+    if (pool.isEmpty()
         && holdsLinks()
         && !health.isUnreachable()
         && !retired
         && !member.draining()) {
       open(TenantId.NONE);
     }
-    if (links.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
-      waiting.takeIf(this::mayAskOthers).forEach(this::acquire);
-    } else if (links.isEmpty()) {
+    if (pool.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
+      dispatcher.takeWaiting(this::mayAskOthers).forEach(this::acquire);
+    } else if (pool.isEmpty()) {
       refuseWaiting(cause);
     }
   }
@@ -449,10 +385,10 @@
     openings.pause(FULL_PAUSE_MILLIS);
     LOG.info("member {}/{} refuses a connection: {}", service, member.id(), refusal.code());
     boolean full = refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS;
-    if (full && !waiting.isEmpty() && endLeastUsed()) {
+    if (full && dispatcher.hasWaiting() && pool.endLeastUsed()) {
       // The member has room for another one as soon as it has seen the end.
       openings.pause(END_SEEN_MILLIS);
-      worker.schedule(END_SEEN_MILLIS, this::openForWaiting);
+      worker.schedule(END_SEEN_MILLIS, dispatcher::openForWaiting);
     } else if (refusal.code() == AnswerCode.WRONG_MEMBER) {
       markUnreachable("another member is at its address");
     }
@@ -466,7 +402,7 @@
 
   private void giveUpLinks() {
     refuseWaiting("the member is unreachable");
-    List.copyOf(links).forEach(MemberLink::close);
+    pool.closeAll();
   }
 
   // ---- health ----
@@ -477,14 +413,14 @@
     if (retired || !holdsLinks()) {
       return;
     }
-    if (health.isUnreachable() || links.isEmpty()) {
+    if (health.isUnreachable() || pool.isEmpty()) {
       if (openings.isEmpty() && !member.draining()) {
         open(TenantId.NONE);
       }
       return;
     }
-    openForWaiting();
-    boolean silent = health.isSilentSince(MemberLink.oldestUnansweredMillis(links));
+    dispatcher.openForWaiting();
+    boolean silent = health.isSilentSince(pool.oldestUnansweredMillis());
     if (silent && openings.isEmpty()) {
       dialer.dial(
           member.host(),
--- a/server/src/main/java/org/streamcourse/connection/member/MemberRelay.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberRelay.java
@@ -16,8 +16,15 @@
    * @param member the member
    * @param holders names of the nodes, the one to ask first in front
    * @param standIns nodes to ask while none of the holders can be asked, the nearest in front
+   * @param owned whether the first holder owns all: it is asked first for all tenants, and when it
+   *     has no room, the others have none either
    */
-  record Target(String service, MemberId member, List<String> holders, List<String> standIns) {}
+  record Target(
+      String service,
+      MemberId member,
+      List<String> holders,
+      List<String> standIns,
+      boolean owned) {}
 
   /**
    * Opens a way to a member for one statement or transaction. What is sent on it waits for a
--- a/server/src/main/java/org/streamcourse/connection/member/TcpMemberProbe.java
+++ b/server/src/main/java/org/streamcourse/connection/member/TcpMemberProbe.java
@@ -75,7 +75,9 @@
       this.member = member;
       this.command = command;
       this.received = received;
-      this.link = new MemberLink(worker, service, member.id(), TenantId.NONE, this);
+      this.link =
+          new MemberLink(
+              worker, service, member.id(), TenantId.NONE, new MemberSlots(worker, () -> {}), this);
     }
 
     void start() {
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -226,7 +226,9 @@
   }
 
   void refused(RelayMessage.Refused refused) {
-    if (!asksNext(refused.cause())) {
+    // The owner of a member's slots has refused for all holders.
+    boolean isFinal = target.owned() && refused.refusal() == RelayMessage.Refusal.BUSY;
+    if (isFinal || !asksNext(refused.cause())) {
       notRun(restMillis(refused.refusal()), refused.cause(), refused.retryAfterMillis());
     }
   }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -83,8 +83,7 @@
       LinkRequest request,
       MemberChannel.Listener listener,
       LongConsumer memberRests) {
-    List<String> asked =
-        usable(HolderOrder.of(target.holders(), target.member(), request.tenant()));
+    List<String> asked = usable(inOrder(target, request));
     boolean standIn = asked.isEmpty();
     if (standIn) {
       asked = usableStandIns(target.standIns());
@@ -94,6 +93,13 @@
         : new RelayChannel(this, target, asked, request, listener, memberRests, standIn);
   }
 
+  /** An owner is asked first whoever the tenant is; equal holders by tenant. */
+  private static List<String> inOrder(Target target, LinkRequest request) {
+    return target.owned()
+        ? target.holders()
+        : HolderOrder.of(target.holders(), target.member(), request.tenant());
+  }
+
   private List<String> usable(List<String> names) {
     List<String> usable = new ArrayList<>(MOST_HOLDERS);
     for (String name : names) {
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -203,7 +203,7 @@
     if (link == null) {
       return;
     }
-    if (working) {
+    if (working && !link.withdraw()) {
       link.close();
       links.release(link);
     } else {
--- a/server/src/main/java/org/streamcourse/version/image/LinkShares.java
+++ b/server/src/main/java/org/streamcourse/version/image/LinkShares.java
@@ -12,9 +12,10 @@
 /**
  * Divides the connections that members accept among the nodes of an image.
  *
- * <p>Where the connections suffice, every node has the same part of each member's. Otherwise a few
- * nodes near the member hold them, chosen by rendezvous hashing, so that an added or lost node
- * changes at most one holder of a member; the others bring their statements to them.
+ * <p>Where the connections suffice, every node has the same part of each member's. Otherwise one
+ * node near the member owns them together with the member's slots, and two others stand by; they
+ * are chosen by rendezvous hashing, so that an added or lost node changes at most one holder of a
+ * member. All others bring their statements to the owner.
  */
 public final class LinkShares {
   /** Connections of each member that are left for the controllers' questions. */
@@ -28,20 +29,24 @@
    */
   private static final int LEAST_LINKS_A_NODE = 3;
 
-  /** Most nodes that hold a member's connections: one may be down and another be cut off. */
-  private static final int MOST_HOLDERS = 4;
-
-  /** Nodes of the member's region below which nodes of other regions hold connections too. */
-  private static final int LEAST_HOLDERS = 2;
+  /**
+   * An owner and two standbys: one may be down and another be cut off. Standbys also tell the
+   * controllers whether the member lives, for which one node's word is too little.
+   */
+  private static final int HOLDERS = 3;
 
-  private static final int SAME_ZONE = 0;
-  private static final int SAME_REGION = 1;
+  /** Nodes that others ask where every node holds links: one may be down, another be cut off. */
+  private static final int MOST_ASKED = 4;
 
   /**
-   * Parts that are left free, for a holder that follows one whose links still end, and for a node
-   * that stands in for holders of which none can be asked.
+   * Part of the usable connections that the owner has: with 86 tenants of unequal size before 55
+   * connections each one fewer is an opening more for some statements, so little is left free. An
+   * owner that follows one whose links still end waits for those that the member refuses.
    */
-  private static final int SPARE_PARTS = 1;
+  private static final double OWNERS_SHARE = 0.8;
+
+  /** Part that each standby has, to watch the member and until it is the owner itself. */
+  private static final double STANDBYS_SHARE = 0.1;
 
   /**
    * Nodes that may stand in for a member's holders. Where three of four nodes lose power at once,
@@ -80,24 +85,54 @@
    */
   public LinkShare of(String service, RegisteredMember member, String node) {
     int usable = usableConnections(service);
-    int most = mostHolders(member, usable);
     if (everyNodeHolds(usable)) {
-      List<String> holders = nearest(member, most);
-      return LinkShare.ofEveryNode(usable / nodes(), inOrderOfNode(node, holders, member));
+      List<String> asked = nearest(member, MOST_ASKED);
+      return LinkShare.ofEveryNode(usable / nodes(), inOrderOfNode(node, asked, member));
     }
-    List<String> near = nearest(member, most + MOST_STAND_INS);
-    List<String> holders = near.subList(0, Math.min(most, near.size()));
+    List<String> near = nearest(member, holders(usable) + MOST_STAND_INS);
+    List<String> holders = near.subList(0, Math.min(holders(usable), near.size()));
     List<String> standIns = near.subList(holders.size(), near.size());
-    int part = Math.max(1, usable / (holders.size() + SPARE_PARTS));
+    LinkShare.Role role = role(node, holders);
     return new LinkShare(
-        holders.contains(node) ? part : 0,
-        inOrderOfNode(node, holders, member),
-        standIns.stream().filter(each -> !each.equals(node)).toList(),
-        standIns.contains(node) ? part : 0);
+        role,
+        linksOf(role, usable),
+        member.slots(),
+        without(node, holders),
+        without(node, standIns),
+        standIns.contains(node) ? standbysPart(usable) : 0);
+  }
+
+  private static LinkShare.Role role(String node, List<String> holders) {
+    return switch (holders.indexOf(node)) {
+      case -1 -> LinkShare.Role.ASKER;
+      case 0 -> LinkShare.Role.OWNER;
+      default -> LinkShare.Role.STANDBY;
+    };
+  }
+
+  private static int linksOf(LinkShare.Role role, int usable) {
+    return switch (role) {
+      case OWNER -> ownersPart(usable);
+      case STANDBY -> standbysPart(usable);
+      default -> 0;
+    };
+  }
+
+  private static int ownersPart(int usable) {
+    int leftByStandbys = usable - (holders(usable) - 1) * standbysPart(usable);
+    return Math.max(1, Math.min((int) (usable * OWNERS_SHARE), leftByStandbys));
+  }
+
+  private static int standbysPart(int usable) {
+    return Math.max(1, (int) (usable * STANDBYS_SHARE));
+  }
+
+  private static List<String> without(String node, List<String> names) {
+    return names.stream().filter(each -> !each.equals(node)).toList();
   }
 
   /**
-   * Finds the few nodes that hold a member's connections.
+   * Finds the owner and the standbys of a member's connections, which see the member.
    *
    * @param service service of the member
    * @param member the member
@@ -107,7 +142,7 @@
     int usable = usableConnections(service);
     return everyNodeHolds(usable)
         ? Optional.empty()
-        : Optional.of(Set.copyOf(nearest(member, mostHolders(member, usable))));
+        : Optional.of(Set.copyOf(nearest(member, holders(usable))));
   }
 
   private int usableConnections(String service) {
@@ -128,11 +163,8 @@
     return usable / nodes() >= LEAST_LINKS_A_NODE;
   }
 
-  private int mostHolders(RegisteredMember member, int usable) {
-    List<List<NodeImage>> byDistance = byDistance(member);
-    int near = byDistance.get(SAME_ZONE).size() + byDistance.get(SAME_REGION).size();
-    int most = near < LEAST_HOLDERS ? MOST_HOLDERS : Math.min(near, MOST_HOLDERS);
-    return Math.min(most, Math.max(1, usable));
+  private static int holders(int usable) {
+    return Math.min(HOLDERS, Math.max(1, usable));
   }
 
   /** Nodes near a member; a longer list begins with a shorter one. */
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -46,6 +46,7 @@
   static final List<String> MEMBERS = List.of(PRIMARY, FIRST_REPLICA, SECOND_REPLICA);
   static final long FIRST_WORK_MILLIS = 20;
   static final int CONNECTIONS = 11;
+  static final int SLOTS = 3;
   static final TermPosition PRIMARY_POSITION = new TermPosition(1, 100);
 
   private static final String SERVICE = "s";
@@ -137,7 +138,7 @@
     ClusterImage image = withoutMembers();
     for (int port = 1; port <= 3; port++) {
       RegisteredMember member =
-          new RegisteredMember(new MemberId("i-" + port), "10.0.0.1", port, "z", 3, false);
+          new RegisteredMember(new MemberId("i-" + port), "10.0.0.1", port, "z", SLOTS, false);
       image = image.apply(new ClusterChange.MemberRegistered(SERVICE, member));
     }
     return image.apply(new ClusterChange.PrimaryObserved(SERVICE, new MemberId(PRIMARY), 0));
--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.streamcourse.connection.member.MemberCommand;
-import org.streamcourse.connection.relay.HolderOrder;
 import org.streamcourse.connection.relay.RelayClient;
 import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.connection.relay.RelayServer;
@@ -21,8 +20,11 @@
 import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.request.statement.StatementRequest;
 import org.streamcourse.version.image.ClusterChange;
+import org.streamcourse.version.image.ClusterImage;
+import org.streamcourse.version.image.LinkShare;
 import org.streamcourse.version.image.LinkShares;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.RoutingDocument;
 import org.streamcourse.version.image.SessionLimits;
 import org.testng.annotations.BeforeMethod;
@@ -133,19 +135,15 @@
     return found;
   }
 
-  /** The holder that the origin asks first for the tenant of all statements here. */
+  /** The holder that all nodes ask first. */
   private String firstHolder(String member) {
-    List<String> holders =
-        new LinkShares(ScriptedService.image(NODES))
-            .of(
-                "s",
-                ScriptedService.image(NODES).service("s").all().stream()
-                    .filter(each -> each.id().value().equals(member))
-                    .findFirst()
-                    .orElseThrow(),
-                origin.name)
-            .holders();
-    return HolderOrder.of(holders, new MemberId(member), service.tenant).get(0);
+    return share(member, origin.name).holders().get(0);
+  }
+
+  private static LinkShare share(String member, String node) {
+    ClusterImage image = ScriptedService.image(NODES);
+    RegisteredMember registered = image.service("s").member(new MemberId(member)).orElseThrow();
+    return new LinkShares(image).of("s", registered, node);
   }
 
   private void write(String id) {
@@ -161,7 +159,10 @@
   @Test
   public void fewNodesHoldAllConnectionsAndStayWithinTheLimit() {
     for (String member : ScriptedService.MEMBERS) {
-      assertEquals(holders(member).size(), 4, member);
+      Set<String> holders = holders(member);
+      assertEquals(holders.size(), 3, member);
+      int links = holders.stream().mapToInt(node -> share(member, node).links()).sum();
+      assertTrue(links < ScriptedService.CONNECTIONS, links + " links to " + member);
     }
   }
 
@@ -226,6 +227,44 @@
     assertEquals(writesRun(), 1);
   }
 
+  /** A standby has links, but statements of its own callers take the owner's slots too. */
+  @Test
+  public void aStandbyBringsItsOwnStatementsToTheOwner() {
+    String owner = firstHolder(ScriptedService.PRIMARY);
+    origin = nodes.get(share(ScriptedService.PRIMARY, origin.name).holders().get(1));
+    write("w");
+    service.pass(4 * WAY_MILLIS);
+    assertEquals(nodes.get(owner).server.streams(), 1);
+    service.pass(200);
+    assertEquals(service.completed(), 1);
+  }
+
+  @Test
+  public void aStandbyServesItsOwnStatementsWhileTheOwnerIsDown() {
+    origin = nodes.get(share(ScriptedService.PRIMARY, origin.name).holders().get(1));
+    down.add(firstHolder(ScriptedService.PRIMARY));
+    write("w");
+    service.pass(200);
+    assertEquals(service.completed(), 1);
+    assertEquals(writesRun(), 1);
+  }
+
+  /** Else the standbys would send a crowded member more than its slots take. */
+  @Test
+  public void whatTheOwnerHasNoRoomForIsNotBroughtToAStandby() {
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    String owner = firstHolder(ScriptedService.PRIMARY);
+    for (int i = 0; i < 40; i++) {
+      write("w" + i);
+    }
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 8 * WAY_MILLIS);
+    for (Node node : nodes.values()) {
+      int streams = node.name.equals(owner) ? ScriptedService.SLOTS : 0;
+      assertEquals(node.server.streams(), streams, node.name);
+    }
+    assertEquals(writesRun(), ScriptedService.SLOTS);
+  }
+
   @Test
   public void aHolderThatIsDownIsLeftForAnother() {
     down.add(firstHolder(ScriptedService.PRIMARY));
--- a/server/src/test/java/org/streamcourse/version/image/LinkSharesTest.java
+++ b/server/src/test/java/org/streamcourse/version/image/LinkSharesTest.java
@@ -70,16 +70,33 @@
   public void whereEachNodeGetsFewAFewNodesOfTheMembersRegionHoldThem() {
     ClusterImage image = image(70, 2, 53);
     Set<String> holders = holders(image);
-    assertEquals(holders.size(), 4);
+    assertEquals(holders.size(), 3);
+    int owned = 0;
     assertEquals(new LinkShares(image).fewHolders(SERVICE, MEMBER).orElseThrow(), holders);
     for (String holder : holders) {
       assertEquals(image.nodes().get(holder).place().zone(), MEMBER.zone());
-      assertEquals(share(image, holder).links(), 10);
+      boolean owns = share(image, holder).role() == LinkShare.Role.OWNER;
+      assertEquals(share(image, holder).links(), owns ? 41 : 5);
+      owned += owns ? 1 : 0;
     }
+    assertEquals(owned, 1, "one node shares out the member's slots");
     for (String node : image.nodes().keySet()) {
       Set<String> others = new HashSet<>(holders);
       others.remove(node);
       assertEquals(new HashSet<>(share(image, node).holders()), others);
+      assertEquals(share(image, node).slots(), MEMBER.slots());
+    }
+  }
+
+  @Test
+  public void allNodesAskTheOwnerFirst() {
+    ClusterImage image = image(70, 2, 53);
+    for (String node : image.nodes().keySet()) {
+      LinkShare share = share(image, node);
+      if (share.role() != LinkShare.Role.OWNER) {
+        String first = share.holders().get(0);
+        assertEquals(share(image, first).role(), LinkShare.Role.OWNER, node);
+      }
     }
   }
 
