Routing: what holders know of members is shared; reads keep from members that are behind; late reads are asked elsewhere

Cause: each node found a lagging replica by its own wrong tries and forgot it after 150 ms. A read that had met a hung member stayed there for its route's whole time.

Change: `ReplicaLag` estimates a member's lag from places seen (bounds from above and below, no rate of commits needed), `MemberKnowledge` goes along in `Answered` and `Refused` as `MemberNews`, and a holder tells it by itself while a member is behind or silent (`MemberWatch`, `News`), asking the member where it stands without taking a slot. `Open` carries the floor, its age and the longest wait, so that the holder waits a few milliseconds or refuses at once. `MemberChoice` takes the least expected finish, with a price for the primary, and keeps a tenant's reads together. Reads that replicas could serve rank behind all else at the primary. `StatementExecution` asks a second member when an answer is late, within a tenth of the reads; `StatementAttempt` and `MemberCall` are what it was before, split. Floors and their check are as before.

Ruled out by thought: distance in the log divided by the speed of commits (fails where commits are rare); asking holders for news by each node (a question for nearly each read).

Conclusion: `verify` of server passes (258 tests).

--- a/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
@@ -69,6 +69,33 @@
    */
   Map<String, String> sessionValues();
 
+  /**
+   * Returns what the member's log must have, to keep the request from a member that lacks it.
+   *
+   * @return the floor as of now, or null where any member's log will do
+   */
+  default ReadFloor floor() {
+    return null;
+  }
+
+  /**
+   * A holder of connections told what it knows of the member; called before its answer is.
+   *
+   * @param news what it told
+   */
+  default void learned(MemberNews news) {}
+
+  /**
+   * The member is known to lack the floor for longer than the request may wait; it was asked
+   * nothing.
+   *
+   * @param cause why
+   * @param retryAfterMillis when it is expected to have it
+   */
+  default void behind(String cause, long retryAfterMillis) {
+    refused(cause, retryAfterMillis);
+  }
+
   /**
    * A node that holds connections gave none, and the next one is asked.
    *
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -61,6 +61,7 @@
   private boolean retired;
   private final Departure departure = new Departure();
   private final HoldTimes holdTimes = new HoldTimes();
+  private final MemberKnowledge knowledge;
 
   /**
    * Creates the links of a member; none is opened yet.
@@ -87,6 +88,7 @@
     this.member = member;
     this.health = new MemberHealth(worker, service + '/' + member.id(), onHealthChange);
     this.waiting = new LinkQueue(worker, this::estimatedWaitMillis, openings);
+    this.knowledge = MemberKnowledge.of(worker, this, links);
   }
 
   /**
@@ -98,6 +100,11 @@
     return member;
   }
 
+  /** Returns what this node knows of the member beyond its links. */
+  public MemberKnowledge knowledge() {
+    return knowledge;
+  }
+
   /**
    * Takes in what is agreed about the member.
    *
@@ -431,11 +438,7 @@
         markUnreachable(cause);
       }
     }
-    if (links.isEmpty()
-        && holdsLinks()
-        && !health.isUnreachable()
-        && !retired
-        && !member.draining()) {
+    if (links.isEmpty() && holdsLinks() && isUsable()) {
       open(TenantId.NONE);
     }
     if (links.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
--- a/server/src/main/java/org/streamcourse/connection/member/MemberRelay.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberRelay.java
@@ -19,6 +19,25 @@
    */
   record Target(String service, MemberId member, List<String> holders, List<String> standIns) {}
 
+  /** Hears what holders of connections tell of members by themselves. */
+  interface NewsListener {
+    /**
+     * A holder told what it knows.
+     *
+     * @param service service of the member
+     * @param member the member
+     * @param news what was told
+     */
+    void told(String service, MemberId member, MemberNews news);
+  }
+
+  /**
+   * Sets who hears what holders tell by themselves.
+   *
+   * @param listener runs on the proxy's worker
+   */
+  default void onNews(NewsListener listener) {}
+
   /**
    * Opens a way to a member for one statement or transaction. What is sent on it waits for a
    * connection at the holder.
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -126,7 +126,8 @@
               request.maxWaitMillis(),
               new TreeMap<>(values),
               steps,
-              standIn);
+              standIn,
+              null);
       sendOpen();
     } else {
       TreeMap<String, String> changed = valuesChanged ? new TreeMap<>(values) : null;
@@ -167,7 +168,8 @@
             remainingWaitMillis(),
             open.values(),
             open.steps(),
-            open.standIn()));
+            open.standIn(),
+            request.floor()));
   }
 
   @Override
@@ -201,9 +203,10 @@
 
   // ---- what comes back ----
 
-  void answered(List<Answer> answers) {
+  void answered(RelayMessage.Answered message) {
     answeredOnce = true;
-    for (Answer answer : answers) {
+    request.learned(message.news());
+    for (Answer answer : message.answers()) {
       unanswered--;
       state = answer.state();
       endIfOver(answer);
@@ -226,14 +229,21 @@
   }
 
   void refused(RelayMessage.Refused refused) {
-    if (!asksNext(refused.cause())) {
+    if (refused.news() != null) {
+      request.learned(refused.news());
+    }
+    if (refused.refusal() == RelayMessage.Refusal.BEHIND) {
+      // The other holders' member is the same.
+      ended = true;
+      request.behind(refused.cause(), refused.retryAfterMillis());
+    } else if (!asksNext(refused.cause())) {
       notRun(restMillis(refused.refusal()), refused.cause(), refused.retryAfterMillis());
     }
   }
 
   private static long restMillis(RelayMessage.Refusal refusal) {
     return switch (refusal) {
-      case BUSY -> 0;
+      case BUSY, BEHIND -> 0;
       case MEMBER_UNUSABLE -> UNREACHED_REST_MILLIS;
       case NOT_HELD -> NOT_HELD_REST_MILLIS;
     };
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -62,6 +62,7 @@
   private final Map<String, Holder> holders = new TreeMap<>();
   private long numbers;
   private long askedOthersMillis = -ASK_OTHERS_MILLIS;
+  private NewsListener newsListener = (service, member, news) -> {};
 
   /**
    * Creates a client that asks nobody yet.
@@ -94,6 +95,11 @@
         : new RelayChannel(this, target, asked, request, listener, memberRests, standIn);
   }
 
+  @Override
+  public void onNews(NewsListener listener) {
+    newsListener = listener;
+  }
+
   private List<String> usable(List<String> names) {
     List<String> usable = new ArrayList<>(MOST_HOLDERS);
     for (String name : names) {
@@ -187,7 +193,7 @@
     if (message instanceof RelayMessage.Answered answered) {
       RelayChannel channel = holder.streams.get(answered.stream());
       if (channel != null) {
-        channel.answered(answered.answers());
+        channel.answered(answered);
       }
     } else if (message instanceof RelayMessage.Refused refused) {
       RelayChannel channel = holder.streams.remove(refused.stream());
@@ -199,6 +205,8 @@
       if (channel != null) {
         channel.lost(ended.cause());
       }
+    } else if (message instanceof RelayMessage.News told) {
+      newsListener.told(told.service(), told.member(), told.news());
     }
   }
 
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberNews;
+import org.streamcourse.connection.member.ReadFloor;
 import org.streamcourse.connection.peer.OneWayMessage;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.PreparedShape;
@@ -60,6 +62,7 @@
    * @param values values of the caller's session
    * @param steps what the member is asked, one after the other
    * @param standIn whether the node shall stand in for the holders, of which none can be asked
+   * @param floor what a read needs, as of when this is sent, or null
    */
   record Open(
       long stream,
@@ -72,7 +75,8 @@
       long maxWaitMillis,
       Map<String, String> values,
       List<Step> steps,
-      boolean standIn)
+      boolean standIn,
+      ReadFloor floor)
       implements RelayMessage {
     /** Identity of the first caller's statement, or null when only a transaction is begun. */
     StatementId firstStatement() {
@@ -110,8 +114,10 @@
    *
    * @param stream number of the stream
    * @param answers whole answers, in order
+   * @param news what the holder knows of the member
    */
-  record Answered(long stream, List<Answer> answers) implements RelayMessage, OneWayMessage {}
+  record Answered(long stream, List<Answer> answers, MemberNews news)
+      implements RelayMessage, OneWayMessage {}
 
   /** Why no connection is given. */
   enum Refusal {
@@ -120,7 +126,9 @@
     /** The holder can't reach the member, or the member leaves. */
     MEMBER_UNUSABLE,
     /** The node holds no connections to the member, or stops. */
-    NOT_HELD
+    NOT_HELD,
+    /** The member lacks the floor of the read for longer than that may wait. */
+    BEHIND
   }
 
   /**
@@ -130,8 +138,9 @@
    * @param refusal kind of refusal
    * @param cause text for a person
    * @param retryAfterMillis when there may be a connection
+   * @param news what the holder knows of the member, or null when it holds no connections to it
    */
-  record Refused(long stream, Refusal refusal, String cause, long retryAfterMillis)
+  record Refused(long stream, Refusal refusal, String cause, long retryAfterMillis, MemberNews news)
       implements RelayMessage, OneWayMessage {}
 
   /**
@@ -148,6 +157,16 @@
   /** Answers a {@link Ping} at once. */
   record Pong() implements RelayMessage, OneWayMessage {}
 
+  /**
+   * Tells what a holder knows of a member, to nodes that lately had work for it; it asks nothing.
+   *
+   * @param service service of the member
+   * @param member the member
+   * @param news what the holder knows
+   */
+  record News(String service, MemberId member, MemberNews news)
+      implements RelayMessage, OneWayMessage {}
+
   /**
    * Tells which side of a relay the message is for.
    *
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.MemberNews;
 import org.streamcourse.connection.peer.PeerNetwork;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.routing.RequestLog;
@@ -29,6 +30,12 @@
    */
   private static final long GONE_MILLIS = 1_500;
 
+  /**
+   * Time for which a sender is told news of members. With 86 nodes, 6 databases and 4 holders of
+   * each member, a node asks a given holder every 12 s.
+   */
+  private static final long SENDER_KEPT_MILLIS = 30_000;
+
   /** This node's links. */
   public interface Links {
     /**
@@ -48,6 +55,7 @@
   private final LongSupplier longestRestMillis;
   private final RequestLog log;
   private final Map<String, Map<Long, RelayedWork>> streams = new TreeMap<>();
+  private final Map<String, Long> senders = new TreeMap<>();
   private boolean stopping;
 
   /**
@@ -114,16 +122,30 @@
     }
   }
 
+  /**
+   * Tells the nodes that lately had work for members here what is known of one.
+   *
+   * @param service service of the member
+   * @param member the member
+   * @param news what is known
+   */
+  public void tellNews(String service, MemberId member, MemberNews news) {
+    long now = worker.now();
+    senders.values().removeIf(opened -> now - opened > SENDER_KEPT_MILLIS);
+    senders.keySet().forEach(name -> send(name, new RelayMessage.News(service, member, news)));
+  }
+
   private void open(String sender, RelayMessage.Open open) {
+    senders.put(sender, worker.now());
     MemberLinks held = stopping ? null : links.held(open.service(), open.member(), open.standIn());
     if (held == null) {
       String cause = stopping ? "the node stops" : "no connections to the member are held here";
-      refuse(sender, open, RelayMessage.Refusal.NOT_HELD, cause, 0);
+      refuse(sender, open, RelayMessage.Refusal.NOT_HELD, cause, 0, null);
       return;
     }
     RelayedWork work = new RelayedWork(this, sender, open, held);
     streams.computeIfAbsent(sender, any -> new HashMap<>()).put(open.stream(), work);
-    held.acquire(work);
+    work.start();
   }
 
   /** Tells that the member was asked nothing. */
@@ -132,9 +154,10 @@
       RelayMessage.Open open,
       RelayMessage.Refusal refusal,
       String cause,
-      long retryAfterMillis) {
+      long retryAfterMillis,
+      MemberNews news) {
     log.refusedForOther(open.firstStatement(), sender, open.member(), cause);
-    send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis));
+    send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis, news));
   }
 
   private RelayedWork find(String sender, long stream) {
@@ -158,6 +181,10 @@
     return worker.now();
   }
 
+  void later(long millis, Runnable task) {
+    worker.schedule(millis, task);
+  }
+
   // ---- senders that are gone ----
 
   /**
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayTypes.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayTypes.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberNews;
+import org.streamcourse.connection.member.ReadFloor;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.request.statement.PreparedShape;
@@ -31,7 +33,10 @@
           RelayMessage.Refused.class,
           RelayMessage.Ended.class,
           RelayMessage.Ping.class,
-          RelayMessage.Pong.class);
+          RelayMessage.Pong.class,
+          ReadFloor.class,
+          MemberNews.class,
+          RelayMessage.News.class);
 
   private RelayTypes() {}
 }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -32,6 +32,8 @@
   private boolean working;
   private boolean ended;
   private long lastMillis;
+  private final RelayedFloor floor;
+  private RelayMessage.Step lastStep;
 
   RelayedWork(RelayServer server, String sender, RelayMessage.Open open, MemberLinks links) {
     this.server = server;
@@ -40,9 +42,31 @@
     this.links = links;
     this.values = open.values();
     this.lastMillis = server.now();
+    this.floor = new RelayedFloor(open.floor(), links.knowledge(), server.now());
     steps.addAll(open.steps());
   }
 
+  /**
+   * Asks for a link once the member is expected to have what the read needs, or refuses when that
+   * is too late.
+   */
+  void start() {
+    if (ended) {
+      return;
+    }
+    long catchUpMillis = floor.untilServed(server.now());
+    if (floor.isTooLate(catchUpMillis, server.now())) {
+      refuse(
+          RelayMessage.Refusal.BEHIND,
+          "the member lacks the floor for another " + catchUpMillis + " ms",
+          catchUpMillis);
+    } else if (catchUpMillis > 0) {
+      server.later(catchUpMillis, this::start);
+    } else {
+      links.acquire(this);
+    }
+  }
+
   String sender() {
     return sender;
   }
@@ -108,12 +132,17 @@
     if (ended) {
       return;
     }
+    boolean usable = open.needsPrimary() ? links.isUsableAsPrimary() : links.isUsable();
+    refuse(
+        usable ? RelayMessage.Refusal.BUSY : RelayMessage.Refusal.MEMBER_UNUSABLE,
+        cause,
+        retryAfterMillis);
+  }
+
+  private void refuse(RelayMessage.Refusal refusal, String cause, long retryAfterMillis) {
     ended = true;
     server.forget(sender, open.stream());
-    boolean usable = open.needsPrimary() ? links.isUsableAsPrimary() : links.isUsable();
-    RelayMessage.Refusal refusal =
-        usable ? RelayMessage.Refusal.BUSY : RelayMessage.Refusal.MEMBER_UNUSABLE;
-    server.refuse(sender, open, refusal, cause, retryAfterMillis);
+    server.refuse(sender, open, refusal, cause, retryAfterMillis, links.knowledge().news());
   }
 
   // ---- steps ----
@@ -137,6 +166,7 @@
       return;
     }
     working = true;
+    lastStep = step;
     link.adopt(values);
     link.run(command(step), new StepEnd());
   }
@@ -155,9 +185,15 @@
     public void answered(Answer answer) {
       working = false;
       lastMillis = server.now();
+      links.knowledge().heard(answer.position());
       if (ended) {
         return;
       }
+      boolean behind = answer.code() == AnswerCode.BEHIND && answer.state() == SessionState.IDLE;
+      if (behind && floor.mayAskAgain(server.now())) {
+        askAgainLater();
+        return;
+      }
       answers.add(answer);
       if (!answer.isComplete()) {
         finishing = steps.peekLast() instanceof RelayMessage.Finish;
@@ -178,8 +214,19 @@
       }
     }
 
+    /** Nothing was run; the member has the place a moment later, sooner than another is asked. */
+    private void askAgainLater() {
+      steps.addFirst(lastStep);
+      MemberLink given = link;
+      link = null;
+      links.releaseRolledBack(given);
+      start();
+    }
+
     private void tellAnswers() {
-      server.send(sender, new RelayMessage.Answered(open.stream(), List.copyOf(answers)));
+      server.send(
+          sender,
+          new RelayMessage.Answered(open.stream(), List.copyOf(answers), links.knowledge().news()));
       answers.clear();
     }
 
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -21,6 +21,18 @@
     endpoint.gauge("streamcourse_sessions", "Open sessions of callers.", node::openSessions);
     endpoint.gauge("streamcourse_image_version", "Version in force.", () -> node.image().version());
     endpoint.gauge("streamcourse_reroutes", "Times another member was tried.", log::reroutes);
+    endpoint.gauge(
+        "streamcourse_members_left_out",
+        "Times a member was left out of a read's choice for its lag or silence.",
+        log::leftOut);
+    endpoint.gauge(
+        "streamcourse_late_reads_repeated",
+        "Reads asked of another member since their answer was late.",
+        log::triedElsewhere);
+    endpoint.gauge(
+        "streamcourse_late_reads_not_repeated",
+        "Reads with a late answer that the budget of repeats allowed no other member.",
+        log::triesDenied);
     endpoint.gauge(
         "streamcourse_relayed_streams",
         "Other nodes' statements and transactions on this node's links.",
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -107,6 +107,7 @@
             () -> agent.wasConfirmedWithin(QuotaPlanner.HOLD_MILLIS),
             agent::tellController);
     table.onHealthChange(this::reportAllMembers);
+    table.onNews(relayServer::tellNews);
     agent.onImage(table::update);
     agent.onConfirmed(() -> mayServe = true);
     agent.onConfirmed(quotas::confirmed);
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -0,0 +1,249 @@
+package org.streamcourse.request.routing;
+
+import org.streamcourse.connection.member.CommandListener;
+import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberLink;
+import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.ReadFloor;
+import org.streamcourse.process.Worker;
+import org.streamcourse.request.statement.Answer;
+import org.streamcourse.request.statement.AnswerCode;
+
+/**
+ * One statement, or the beginning of a transaction, on one link that was granted, up to its answer.
+ * It notes how fast the member answered and where its log stood.
+ *
+ * <p>Invariant: the link goes back to its pool once, except that of a transaction that was begun.
+ *
+ * <p>All methods run on the proxy's worker.
+ */
+final class MemberCall {
+  /** Where the call stands. */
+  private enum Phase {
+    BEGINNING,
+    RUNNING,
+    /** Nobody waits for the answer; it is awaited so that the link can be kept. */
+    ABANDONED,
+    DONE
+  }
+
+  /** Hears the end of a call, once, unless it is abandoned or dropped. */
+  interface Listener {
+    /** A single statement completed. */
+    void completed(Answer answer);
+
+    /** A transaction was begun; its statements go on the link, which is the listener's now. */
+    void opened(MemberLinks links, MemberLink link);
+
+    /**
+     * The member answered with an error.
+     *
+     * @param answer its answer
+     * @param beginning whether only the beginning of a transaction was asked
+     */
+    void failed(Answer answer, boolean beginning);
+
+    /**
+     * The link is gone, and with it the answer.
+     *
+     * @param cause what happened
+     * @param beginning whether only the beginning of a transaction was asked
+     */
+    void lost(String cause, boolean beginning);
+  }
+
+  private final Worker worker;
+  private final RequestLog log;
+  private final StatementContext context;
+  private final StatementPlan plan;
+  private final ServiceMembers members;
+  private final MemberLinks links;
+  private final Listener listener;
+  private final ReadFloor floor;
+  private final HeldLink held = new HeldLink();
+  private final long sentMillis;
+  private Phase phase = Phase.DONE;
+
+  /**
+   * Creates a call that is not sent yet.
+   *
+   * @param worker the proxy's worker
+   * @param log tells what is decided
+   * @param context the statement and its session
+   * @param plan what is asked of the member
+   * @param members members of the service
+   * @param links pool to which the link goes back
+   * @param floor what the member's log must have, or null
+   * @param listener hears the end
+   */
+  MemberCall(
+      Worker worker,
+      RequestLog log,
+      StatementContext context,
+      StatementPlan plan,
+      ServiceMembers members,
+      MemberLinks links,
+      ReadFloor floor,
+      Listener listener) {
+    this.worker = worker;
+    this.log = log;
+    this.context = context;
+    this.plan = plan;
+    this.members = members;
+    this.links = links;
+    this.floor = floor;
+    this.listener = listener;
+    this.sentMillis = worker.now();
+  }
+
+  ReadFloor floor() {
+    return floor;
+  }
+
+  /** Sends the statement over a link. */
+  void send(MemberLink granted) {
+    held.hold(links, granted);
+    MemberLink link = granted;
+    link.adopt(context.values());
+    boolean begins =
+        plan == StatementPlan.PRIMARY_TRANSACTION || plan == StatementPlan.ANY_TRANSACTION;
+    phase = begins ? Phase.BEGINNING : Phase.RUNNING;
+    switch (plan) {
+      case ANY_READ -> link.run(context.command(link, floor.position()), new SingleAnswer());
+      case WRITE -> link.run(context.command(link, null), new SingleAnswer());
+      case PRIMARY_READ -> link.runGuarded(context.command(link, null), new SingleAnswer());
+      case PRIMARY_TRANSACTION ->
+          link.run(new MemberCommand.BeginTransaction(false, null), new Begun());
+      case ANY_TRANSACTION ->
+          link.run(new MemberCommand.BeginTransaction(true, floor.position()), new Begun());
+    }
+  }
+
+  boolean isBeginning() {
+    return phase == Phase.BEGINNING;
+  }
+
+  /** Whether the member owes an answer that somebody waits for. */
+  boolean awaitsAnswer() {
+    return phase == Phase.BEGINNING || phase == Phase.RUNNING;
+  }
+
+  /** Whether the member may have run what was sent. */
+  boolean mayHaveRun() {
+    return held.get().mayHaveRun();
+  }
+
+  /** Nobody waits for the answer any more; the link goes back once it has come. */
+  void abandon() {
+    if (awaitsAnswer()) {
+      phase = Phase.ABANDONED;
+    }
+  }
+
+  /** Closes the link, on which an answer is outstanding. */
+  void drop() {
+    if (phase != Phase.DONE) {
+      phase = Phase.DONE;
+      held.drop();
+    }
+  }
+
+  /** A holder of connections gave none for the link, so nothing was run. */
+  void refused() {
+    phase = Phase.DONE;
+    held.forget();
+  }
+
+  /** Hears whether a transaction was begun. */
+  private final class Begun implements CommandListener {
+    @Override
+    public void answered(Answer answer) {
+      if (phase == Phase.DONE) {
+        return;
+      }
+      boolean awaited = end();
+      if (!awaited || !answer.isComplete()) {
+        held.release();
+      }
+      if (!awaited) {
+        return;
+      }
+      if (answer.isComplete()) {
+        notePrimary(answer);
+        listener.opened(links, held.take());
+      } else {
+        listener.failed(answer, true);
+      }
+    }
+
+    @Override
+    public void lost(String cause) {
+      loseLink(cause, true);
+    }
+  }
+
+  /** Hears the answer of a read or write. */
+  private final class SingleAnswer implements CommandListener {
+    @Override
+    public void answered(Answer answer) {
+      if (phase == Phase.DONE) {
+        return;
+      }
+      boolean awaited = end();
+      noteAnswer(answer);
+      if (answer.code() == AnswerCode.UNKNOWN_NAME) {
+        // What this node believes to be prepared there is not.
+        held.get().close();
+      }
+      if (answer.isComplete()) {
+        notePrimary(answer);
+      }
+      held.release();
+      if (awaited && answer.isComplete()) {
+        listener.completed(answer);
+      } else if (awaited) {
+        listener.failed(answer, false);
+      }
+    }
+
+    @Override
+    public void lost(String cause) {
+      loseLink(cause, false);
+    }
+  }
+
+  /** Ends the call; returns whether somebody waits for its answer. */
+  private boolean end() {
+    boolean awaited = awaitsAnswer();
+    phase = Phase.DONE;
+    return awaited;
+  }
+
+  private void loseLink(String cause, boolean beginning) {
+    if (phase == Phase.DONE) {
+      return;
+    }
+    boolean awaited = end();
+    held.forget();
+    if (awaited) {
+      listener.lost(cause, beginning);
+    }
+  }
+
+  private void noteAnswer(Answer answer) {
+    long latency = worker.now() - sentMillis;
+    log.observer().memberAnswered(latency);
+    members.answered(links.member().id(), context.route().database(), latency, answer.position());
+  }
+
+  /** A statement that only a primary completes shows that the member was primary. */
+  private void notePrimary(Answer answer) {
+    if (!plan.needsPrimary()) {
+      return;
+    }
+    members.isPrimary(links.member().id());
+    if (answer.position() != null) {
+      members.primaryAt(sentMillis, answer.position());
+    }
+  }
+}
--- a/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.MemberNews;
 import org.streamcourse.connection.member.MemberRelay;
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.image.ClusterImage;
@@ -33,6 +34,7 @@
   private final Map<String, ServiceMembers> services = new TreeMap<>();
   private final Set<Runnable> waiting = new LinkedHashSet<>();
   private Runnable healthListener = () -> {};
+  private MemberRelay.NewsListener newsListener = (service, member, news) -> {};
 
   /**
    * Creates an empty table.
@@ -47,6 +49,15 @@
     this.dialer = dialer;
     this.relay = relay;
     this.self = self;
+    relay.onNews(this::told);
+  }
+
+  private void told(String service, MemberId member, MemberNews news) {
+    ServiceMembers members = services.get(service);
+    MemberLinks links = members == null ? null : members.links(member);
+    if (links != null) {
+      links.knowledge().told(news);
+    }
   }
 
   /**
@@ -58,6 +69,15 @@
     healthListener = listener;
   }
 
+  /**
+   * Sets who tells other nodes of members to which this node has links.
+   *
+   * @param listener runs on the proxy's worker
+   */
+  public void onNews(MemberRelay.NewsListener listener) {
+    newsListener = listener;
+  }
+
   /**
    * Takes in a new image.
    *
@@ -132,7 +152,7 @@
   public void noteCommit(String service, long sentMillis, TermPosition position) {
     ServiceMembers members = services.get(service);
     if (members != null) {
-      members.primaryPositions().add(sentMillis, position);
+      members.primaryAt(sentMillis, position);
     }
   }
 
@@ -168,5 +188,6 @@
     for (ServiceMembers members : services.values()) {
       members.all().forEach(MemberLinks::check);
     }
+    services.forEach((name, members) -> members.watch(name, newsListener));
   }
 }
--- a/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
+++ b/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
@@ -131,7 +131,7 @@
     public void answered(Answer answer) {
       if (answer.isComplete() && answer.position() != null) {
         members.isPrimary(links.member().id());
-        members.primaryPositions().add(sentMillis, answer.position());
+        members.primaryAt(sentMillis, answer.position());
       } else if (answer.code() == AnswerCode.READ_ONLY) {
         members.notPrimary(links.member().id());
       }
--- a/server/src/main/java/org/streamcourse/request/routing/PrimaryPositions.java
+++ b/server/src/main/java/org/streamcourse/request/routing/PrimaryPositions.java
@@ -55,6 +55,22 @@
     return null;
   }
 
+  /**
+   * Finds how long the primary's log is known to have a place.
+   *
+   * @param position the place
+   * @param now present time
+   * @return milliseconds since the first sample at or after it was asked for; 0 without one
+   */
+  public long knownForMillis(TermPosition position, long now) {
+    for (Sample sample : samples) {
+      if (sample.position().reaches(position)) {
+        return now - sample.askedMillis();
+      }
+    }
+    return 0;
+  }
+
   /**
    * Returns the newest place.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
@@ -29,6 +29,9 @@
   private long reroutes;
   private long otherHolders;
   private long refusedForOthers;
+  private long leftOut;
+  private long triedElsewhere;
+  private long triesDenied;
 
   /**
    * Creates a log.
@@ -98,6 +101,57 @@
     }
   }
 
+  /**
+   * A member was left out, since it lacks what a read needs or owes answers to all.
+   *
+   * @param context the read
+   * @param member what is known of the member
+   * @param knownMillis age of that knowledge
+   * @param chosen member that was chosen
+   */
+  void leftOut(
+      StatementContext context,
+      MemberChoice.Candidate member,
+      long knownMillis,
+      MemberChoice.Candidate chosen) {
+    leftOut++;
+    if (budget.take()) {
+      LOG.info(
+          "member left out {} {} {} {} {} {} {}",
+          keyValue("request", context.traceId()),
+          keyValue("member", member.id()),
+          keyValue("catchUpMillis", member.catchUpMillis()),
+          keyValue("silentMillis", member.silentMillis()),
+          keyValue("knownMillis", knownMillis),
+          keyValue("chosen", chosen.id()),
+          keyValue("chosenFinishMillis", Math.round(chosen.finishMillis())));
+    }
+  }
+
+  /**
+   * A read's answer is late, and another member is asked as well if the budget allows it.
+   *
+   * @param context the read
+   * @param member member that owes the answer
+   * @param waitedMillis time since it was sent there
+   * @param allowed whether another is asked
+   */
+  void late(StatementContext context, MemberId member, long waitedMillis, boolean allowed) {
+    if (allowed) {
+      triedElsewhere++;
+    } else {
+      triesDenied++;
+    }
+    if (budget.take()) {
+      LOG.info(
+          "answer is late {} {} {} {}",
+          keyValue("request", context.traceId()),
+          keyValue("member", member),
+          keyValue("waitedMillis", waitedMillis),
+          keyValue("asksAnother", allowed));
+    }
+  }
+
   /** A holder of connections did not run a statement, and another holder is asked. */
   void asksAnotherHolder(StatementContext context, String holder, String cause) {
     otherHolders++;
@@ -217,6 +271,33 @@
     return refusedForOthers;
   }
 
+  /**
+   * Counts the times that a member was left out of a read's choice.
+   *
+   * @return count since the start
+   */
+  public long leftOut() {
+    return leftOut;
+  }
+
+  /**
+   * Counts reads that another member was asked for since their answer was late.
+   *
+   * @return count since the start
+   */
+  public long triedElsewhere() {
+    return triedElsewhere;
+  }
+
+  /**
+   * Counts reads whose answer was late and for which the budget of repeats allowed none.
+   *
+   * @return count since the start
+   */
+  public long triesDenied() {
+    return triesDenied;
+  }
+
   /**
    * Counts the times that another member was looked for.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
@@ -1,11 +1,16 @@
 package org.streamcourse.request.routing;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.streamcourse.connection.member.MemberKnowledge;
 import org.streamcourse.connection.member.MemberLinks;
+import org.streamcourse.connection.member.MemberRelay;
+import org.streamcourse.connection.member.ReadFloor;
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.TenantId;
@@ -18,28 +23,24 @@
  * <p>All methods run on the proxy's worker.
  */
 public final class ServiceMembers {
-  /** A read goes to the primary only when the replicas are this much dearer. */
-  private static final double PRIMARY_READ_COST = 2.0;
-
-  /** A member that lately lacked a place is this much dearer. */
-  private static final double BEHIND_COST = 4.0;
-
-  private static final long BEHIND_MEMORY_MILLIS = 150;
-  private static final double NEWEST = 0.1;
-
-  /** Time in which an average that gets no new values loses most of its weight. */
-  private static final double LATENCY_MEMORY_MILLIS = 2_000;
-
   private static final double FIRST_LATENCY_SAME_ZONE_MILLIS = 20;
   private static final double FIRST_LATENCY_ELSEWHERE_MILLIS = 60;
 
+  /**
+   * Least time that a read may wait for a replica before it looks elsewhere: to be refused and to
+   * reach another member takes about as long between regions.
+   */
+  private static final long LEAST_CATCH_UP_WAIT_MILLIS = 40;
+
   /** What was seen of one member's answers. */
   private static final class Observation {
-    private double firstMillis;
-    private double latencyMillis;
-    private long answeredMillis;
-    private long behindMillis = Long.MIN_VALUE / 2;
+    private final AnswerTimes times;
+    private final Map<String, AnswerTimes> timesOfDatabases = new HashMap<>();
     private TermPosition position = TermPosition.ZERO;
+
+    Observation(double firstMillis) {
+      times = new AnswerTimes(firstMillis);
+    }
   }
 
   private final Worker worker;
@@ -47,15 +48,19 @@
   private final Map<MemberId, Observation> observations = new HashMap<>();
   private final PrimaryPositions primaryPositions = new PrimaryPositions();
   private final PositionProbe positionProbe;
+  private final MemberWatch memberWatch;
+  private final ReadRetries readRetries = new ReadRetries();
   private Map<MemberId, MemberLinks> members = new TreeMap<>();
   private MemberId primary = MemberId.NONE;
   private MemberId promotion = MemberId.NONE;
   private MemberId deposed = MemberId.NONE;
+  private TenantId lastReader = TenantId.NONE;
 
   ServiceMembers(Worker worker, String zone) {
     this.worker = worker;
     this.zone = zone;
     this.positionProbe = new PositionProbe(worker, this);
+    this.memberWatch = new MemberWatch(worker, this);
   }
 
   void replace(Map<MemberId, MemberLinks> next, MemberId agreedPrimary, MemberId agreedPromotion) {
@@ -108,6 +113,11 @@
     positionProbe.ask(tenant, next);
   }
 
+  /** Looks after the members to which this node has links, and tells other nodes of them. */
+  void watch(String service, MemberRelay.NewsListener listener) {
+    memberWatch.check(service, lastReader, listener);
+  }
+
   /**
    * Returns the place that a member told last.
    *
@@ -119,6 +129,11 @@
     return seen == null ? TermPosition.ZERO : seen.position;
   }
 
+  /** What reads of the service may be tried a second time. */
+  ReadRetries readRetries() {
+    return readRetries;
+  }
+
   // ---- choice ----
 
   /**
@@ -136,6 +151,17 @@
     return links != null && links.isUsableAsPrimary() ? links : null;
   }
 
+  /** Whether another member than one can be asked. */
+  boolean hasOther(MemberId id) {
+    return members.values().stream()
+        .anyMatch(links -> links.isUsable() && !links.member().id().equals(id));
+  }
+
+  /** Whether links lead to the member that is agreed to be primary. */
+  boolean isPrimary(MemberLinks links) {
+    return links.member().id().equals(primary);
+  }
+
   /** A member said that it is not primary, though it was believed to be. */
   void notPrimary(MemberId id) {
     if (id.equals(primary)) {
@@ -150,66 +176,98 @@
     }
   }
 
-  /** The cheapest usable member for a read, leaving out some; null when there is none. */
-  MemberLinks cheapest(Set<MemberId> without) {
-    MemberLinks best = null;
-    double bestCost = Double.MAX_VALUE;
+  /** Members for a read of a tenant, as they are known now. */
+  List<MemberChoice.Candidate> candidates(Set<MemberId> without, ReadFloor floor, TenantId reader) {
+    lastReader = reader;
+    List<MemberChoice.Candidate> candidates = new ArrayList<>();
     for (MemberLinks links : members.values()) {
-      MemberId id = links.member().id();
-      if (links.isUsable() && !without.contains(id)) {
-        double cost = cost(links);
-        if (cost < bestCost) {
-          best = links;
-          bestCost = cost;
-        }
+      if (links.isUsable() && !without.contains(links.member().id())) {
+        candidates.add(candidate(links, floor));
       }
     }
-    return best;
+    return candidates;
   }
 
-  private double cost(MemberLinks links) {
-    Observation seen = observation(links.member().id());
-    double cost = expectedLatency(seen) * (1 + links.used()) + links.estimatedWaitMillis();
-    if (links.member().id().equals(primary)) {
-      cost *= PRIMARY_READ_COST;
-    }
-    boolean lately = worker.now() - seen.behindMillis < BEHIND_MEMORY_MILLIS;
-    return lately ? cost * BEHIND_COST : cost;
+  private MemberChoice.Candidate candidate(MemberLinks links, ReadFloor floor) {
+    MemberId id = links.member().id();
+    MemberKnowledge known = links.knowledge();
+    return new MemberChoice.Candidate(
+        id,
+        id.equals(primary),
+        observation(id).times.expectedMillis(worker.now()),
+        links.used(),
+        Math.max(links.estimatedWaitMillis(), known.toldWaitMillis()),
+        id.equals(primary) ? 0 : known.untilServes(floor),
+        known.silentMillis());
   }
 
-  /** The average, which loses its weight while the member answers nothing. */
-  private double expectedLatency(Observation seen) {
-    double age = worker.now() - seen.answeredMillis;
-    return seen.firstMillis
-        + (seen.latencyMillis - seen.firstMillis) * Math.exp(-age / LATENCY_MEMORY_MILLIS);
+  /**
+   * Tells what a read needs.
+   *
+   * @param position the place
+   * @return the place with its age
+   */
+  ReadFloor floor(TermPosition position) {
+    long age = primaryPositions.knownForMillis(position, worker.now());
+    return new ReadFloor(position, age, LEAST_CATCH_UP_WAIT_MILLIS);
+  }
+
+  /** What a read needs, and how long it may wait at the chosen member for it. */
+  ReadFloor floorAt(MemberChoice.Chosen choice, ReadFloor floor, long mostMillis) {
+    double wait = choice.chosen().catchUpMillis() + choice.spareMillis();
+    long bounded = Math.round(Math.min(mostMillis, Math.max(LEAST_CATCH_UP_WAIT_MILLIS, wait)));
+    return new ReadFloor(floor.position(), floor.ageMillis(), bounded);
   }
 
   // ---- observations ----
 
-  void answered(MemberId id, long latencyMillis, TermPosition position) {
+  /**
+   * The primary's log stood at a place.
+   *
+   * @param askedMillis time at which the statement was sent
+   * @param position place that it told
+   */
+  void primaryAt(long askedMillis, TermPosition position) {
+    primaryPositions.add(askedMillis, position);
+    long age = worker.now() - askedMillis;
+    members.values().forEach(links -> links.knowledge().primaryHad(position, age));
+  }
+
+  void answered(MemberId id, String database, long latencyMillis, TermPosition position) {
     Observation seen = observation(id);
-    seen.latencyMillis += NEWEST * (latencyMillis - seen.latencyMillis);
-    seen.answeredMillis = worker.now();
+    long now = worker.now();
+    seen.times.add(latencyMillis, now);
+    timesOf(id, database).add(latencyMillis, now);
     if (position != null) {
       seen.position = seen.position.max(position);
     }
+    MemberLinks links = members.get(id);
+    if (links != null && links.holdsLinks()) {
+      links.knowledge().heard(position);
+    }
   }
 
-  void behind(MemberId id) {
-    observation(id).behindMillis = worker.now();
+  /** How long a member takes for the statements of one database name, which are of a kind. */
+  AnswerTimes timesOf(MemberId id, String database) {
+    Observation seen = observation(id);
+    return seen.timesOfDatabases.computeIfAbsent(
+        database, any -> new AnswerTimes(firstMillis(members.get(id))));
   }
 
-  private Observation observation(MemberId id) {
-    Observation known = observations.get(id);
-    if (known != null) {
-      return known;
-    }
-    Observation created = new Observation();
+  /** A member said itself that it lacks a place. */
+  void behind(MemberId id, ReadFloor floor) {
     MemberLinks links = members.get(id);
+    if (links != null) {
+      links.knowledge().lacks(floor);
+    }
+  }
+
+  private Observation observation(MemberId id) {
+    return observations.computeIfAbsent(id, any -> new Observation(firstMillis(members.get(id))));
+  }
+
+  private double firstMillis(MemberLinks links) {
     boolean near = links != null && links.member().zone().equals(zone);
-    created.firstMillis = near ? FIRST_LATENCY_SAME_ZONE_MILLIS : FIRST_LATENCY_ELSEWHERE_MILLIS;
-    created.latencyMillis = created.firstMillis;
-    observations.put(id, created);
-    return created;
+    return near ? FIRST_LATENCY_SAME_ZONE_MILLIS : FIRST_LATENCY_ELSEWHERE_MILLIS;
   }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.streamcourse.connection.member.MemberChannel;
 import org.streamcourse.connection.member.MemberCommand;
@@ -64,6 +66,21 @@
   /** Tenant of the connection over which each statement was run. */
   final Map<String, TenantId> ranFor = new TreeMap<>();
 
+  /** How long after the primary a member has a commit. */
+  final Map<String, Long> lagMillis = new TreeMap<>();
+
+  /** Members that run statements and never answer them, but accept connections and transactions. */
+  final Set<String> hung = new HashSet<>();
+
+  /** Answers BEHIND of all members. */
+  int behind;
+
+  /** Time from the start of each statement to its answer. */
+  final List<Long> tookMillis = new ArrayList<>();
+
+  private final Map<String, Long> shownPosition = new TreeMap<>();
+  private final List<Long> commitMillis = new ArrayList<>();
+
   /** Most connections that one member has had at once. */
   int mostAtOnce;
 
@@ -181,11 +198,13 @@
             Map.of(),
             TermPosition.ZERO,
             "");
+    long startedMillis = worker.now();
     ExecutionListener listener =
         new ExecutionListener() {
           @Override
           public void finished(Answer answer) {
             answers.add(answer);
+            tookMillis.add(worker.now() - startedMillis);
           }
 
           @Override
@@ -196,6 +215,27 @@
     new StatementExecution(worker, ofNode, log, context, plan, listener).start();
   }
 
+  /** Times that another member was looked for, since one refused or was known to lack a floor. */
+  long reroutes() {
+    return log.reroutes();
+  }
+
+  /** Place of a member's log: each write at the primary is a commit, and is seen there later. */
+  private TermPosition position(String member) {
+    long visible = worker.now() - lagMillis.getOrDefault(member, 0L);
+    long commits = commitMillis.stream().filter(each -> each <= visible).count();
+    // A member that falls behind stands still for a while.
+    long position = shownPosition.merge(member, PRIMARY_POSITION.position() + commits, Math::max);
+    return new TermPosition(PRIMARY_POSITION.term(), position);
+  }
+
+  private static TermPosition floorOf(MemberCommand command) {
+    if (command instanceof MemberCommand.Run run) {
+      return run.floor();
+    }
+    return command instanceof MemberCommand.BeginTransaction begin ? begin.floor() : null;
+  }
+
   long count(String member, Class<? extends MemberCommand> kind) {
     return commands.getOrDefault(member, List.of()).stream().filter(kind::isInstance).count();
   }
@@ -250,7 +290,19 @@
         openConnections.merge(member, 1, Integer::sum);
         tenant = introduce.tenant();
       }
+      TermPosition floor = floorOf(command);
+      if (floor != null && !position(member).reaches(floor)) {
+        behind++;
+        listener.answered(answer(AnswerCode.BEHIND, command));
+        return;
+      }
       noteTenant(command);
+      if (command instanceof MemberCommand.Run && hung.contains(member)) {
+        return;
+      }
+      if (command instanceof MemberCommand.Run run && run.text().startsWith("WRITE")) {
+        commitMillis.add(worker.now());
+      }
       if (command instanceof MemberCommand.BeginTransaction begin) {
         if (!begin.readOnly() && !member.equals(PRIMARY)) {
           listener.answered(Answer.error(AnswerCode.READ_ONLY, member, state));
@@ -260,8 +312,11 @@
       } else if (command instanceof MemberCommand.RollBack) {
         state = SessionState.IDLE;
       }
-      listener.answered(
-          new Answer(List.of(), AnswerCode.COMPLETE, signature(command), state, PRIMARY_POSITION));
+      listener.answered(answer(AnswerCode.COMPLETE, command));
+    }
+
+    private Answer answer(AnswerCode code, MemberCommand command) {
+      return new Answer(List.of(), code, signature(command), state, position(member));
     }
 
     private void noteTenant(MemberCommand command) {
