--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -52,6 +52,7 @@
   private final LinkAllowance allowance = new LinkAllowance();
   private boolean retired;
   private final Departure departure = new Departure();
+  private final MemberKnowledge knowledge;
 
   /**
    * Creates the links of a member; none is opened yet.
@@ -78,6 +79,7 @@
     this.health = new MemberHealth(worker, service + '/' + member.id(), onHealthChange);
     this.dispatcher = new LinkDispatcher(worker, pool, allowance, openings, this::open);
     this.relayed = new RelayedLinks(worker, relay, service, member.id(), dispatcher.slots(), this);
+    this.knowledge = MemberKnowledge.of(worker, this, pool);
   }
 
   /**
@@ -89,6 +91,11 @@
     return member;
   }
 
+  /** Returns what this node knows of the member beyond its links. */
+  public MemberKnowledge knowledge() {
+    return knowledge;
+  }
+
   /**
    * Takes in what is agreed about the member.
    *
@@ -367,11 +374,7 @@
         markUnreachable(cause);
       }
     }
-    if (pool.isEmpty()
-        && holdsLinks()
-        && !health.isUnreachable()
-        && !retired
-        && !member.draining()) {
+    if (pool.isEmpty() && holdsLinks() && isUsable()) {
       open(TenantId.NONE);
     }
     if (pool.isEmpty() && refusal != null && refusal.code() == AnswerCode.TOO_MANY_CONNECTIONS) {
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -62,6 +62,7 @@
   private final Map<String, Holder> holders = new TreeMap<>();
   private long numbers;
   private long askedOthersMillis = -ASK_OTHERS_MILLIS;
+  private NewsListener newsListener = (service, member, news) -> {};
 
   /**
    * Creates a client that asks nobody yet.
@@ -100,6 +101,11 @@
         : HolderOrder.of(target.holders(), target.member(), request.tenant());
   }
 
+  @Override
+  public void onNews(NewsListener listener) {
+    newsListener = listener;
+  }
+
   private List<String> usable(List<String> names) {
     List<String> usable = new ArrayList<>(MOST_HOLDERS);
     for (String name : names) {
@@ -193,7 +199,7 @@
     if (message instanceof RelayMessage.Answered answered) {
       RelayChannel channel = holder.streams.get(answered.stream());
       if (channel != null) {
-        channel.answered(answered.answers());
+        channel.answered(answered);
       }
     } else if (message instanceof RelayMessage.Refused refused) {
       RelayChannel channel = holder.streams.remove(refused.stream());
@@ -205,6 +211,8 @@
       if (channel != null) {
         channel.lost(ended.cause());
       }
+    } else if (message instanceof RelayMessage.News told) {
+      newsListener.told(told.service(), told.member(), told.news());
     }
   }
 
