Limits: a tenant's operations are counted at homes, and a new run uses its former run's share at a pace

With 86 nodes and 86 tenants a share of a limit was less than one operation a node. After a loss of all power the planner counted what each former run had as used for a window, so for 5 s nearly everything was refused; while no leader answered, nodes without a share refused everything.

One node of each region counts a tenant's operations (rendezvous hashing over the image's nodes); the others ask it, and the next one when it is silent, unreachable or without room. A run uses a share as a token bucket within the sliding window, so that the next run of the node may use the same share from its start on, whatever the former one used. The planner moves the shares of former runs with the first word of a later one, in one change of the agreed table.

A node drops its shares when its confirmation lapses, and takes nothing that was said before.

--- a/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
+++ b/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
@@ -3,6 +3,7 @@
 import org.streamcourse.connection.member.MemberLink;
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.request.quota.QuotaPermit;
+import org.streamcourse.request.quota.QuotaRefusal;
 import org.streamcourse.request.quota.QuotaRequest;
 import org.streamcourse.request.routing.ExecutionListener;
 import org.streamcourse.request.routing.StatementContext;
@@ -81,10 +82,10 @@
   }
 
   @Override
-  public void refused(String cause, long retryAfterMillis) {
+  public void refused(QuotaRefusal refusal) {
     if (!cancelled) {
-      node.log().overLimit(context, cause);
-      String text = cause + "; retry-after-ms=" + retryAfterMillis;
+      node.log().overLimit(context, refusal.cause());
+      String text = refusal.cause() + "; retry-after-ms=" + refusal.retryAfterMillis();
       listener.finished(Answer.error(AnswerCode.BUSY, text, SessionState.IDLE));
     }
   }
--- a/server/src/main/java/org/streamcourse/connection/session/SessionNode.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionNode.java
@@ -1,7 +1,7 @@
 package org.streamcourse.connection.session;
 
 import org.streamcourse.process.Worker;
-import org.streamcourse.request.quota.TenantQuotas;
+import org.streamcourse.request.quota.OperationLimits;
 import org.streamcourse.request.routing.MemberTable;
 import org.streamcourse.request.routing.RequestLog;
 import org.streamcourse.version.image.ClusterImage;
@@ -32,9 +32,9 @@
   /**
    * Returns the limits of tenants.
    *
-   * @return what this node may run of each tenant's operations
+   * @return decides whether operations may run
    */
-  TenantQuotas quotas();
+  OperationLimits quotas();
 
   /**
    * Returns the image in force.
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -39,6 +39,14 @@
         "streamcourse_quota_refused",
         "Operations refused for their tenant's limit.",
         node.quotas().counts()::refusals);
+    endpoint.gauge(
+        "streamcourse_quota_counted_for_others",
+        "Other nodes' operations that were admitted here.",
+        node.quotas()::countedForOthers);
+    endpoint.gauge(
+        "streamcourse_quota_homes_silent",
+        "Times a node that counts operations was found silent.",
+        node.quotas()::suspicions);
     node.quotas()
         .counts()
         .onAdmitted(
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -14,6 +14,10 @@
 import org.streamcourse.connection.session.ClientChannel;
 import org.streamcourse.connection.session.ClientSession;
 import org.streamcourse.connection.session.SessionNode;
+import org.streamcourse.request.quota.HomeMessage;
+import org.streamcourse.request.quota.HomeOrder;
+import org.streamcourse.request.quota.HomedQuotas;
+import org.streamcourse.request.quota.QuotaPace;
 import org.streamcourse.request.quota.QuotaSettings;
 import org.streamcourse.request.quota.TenantQuotas;
 import org.streamcourse.request.routing.MemberTable;
@@ -58,7 +62,8 @@
   private final RelayClient relayClient;
   private final RelayServer relayServer;
   private final NodeSurvey survey;
-  private final TenantQuotas quotas;
+  private final TenantQuotas ownQuotas;
+  private final HomedQuotas quotas;
   private final Set<ClientSession> sessions = new LinkedHashSet<>();
   private volatile boolean mayServe;
   private volatile boolean stopping;
@@ -99,13 +104,23 @@
     this.agent =
         new NodeAgent(
             worker, network, new NoDisk(), codec, ControlSettings.DEFAULT, controllers, self);
-    this.quotas =
+    this.ownQuotas =
         new TenantQuotas(
             worker,
-            quotaSettings,
+            QuotaPace.of(quotaSettings.windowMillis()),
+            self.name(),
             lastStream,
             () -> agent.wasConfirmedWithin(QuotaPlanner.HOLD_MILLIS),
             agent::tellController);
+    this.quotas =
+        new HomedQuotas(
+            worker,
+            network,
+            ownQuotas,
+            self.name(),
+            new HomeOrder(HomeOrder.Scope.REGION, self.place()),
+            agent::image,
+            lastStream);
     table.onHealthChange(this::reportAllMembers);
     agent.onImage(table::update);
     agent.onConfirmed(() -> mayServe = true);
@@ -261,7 +276,7 @@
   }
 
   @Override
-  public TenantQuotas quotas() {
+  public HomedQuotas quotas() {
     return quotas;
   }
 
@@ -294,7 +309,11 @@
 
   private void handle(String peer, Object message) {
     if (message instanceof QuotaNews news) {
-      quotas.receive(news);
+      ownQuotas.receive(news);
+      return;
+    }
+    if (message instanceof HomeMessage home) {
+      quotas.receive(peer, home);
       return;
     }
     if (!(message instanceof RelayMessage relayed)) {
@@ -316,11 +335,16 @@
         () -> {
           relayClient.linkLost(peer);
           relayServer.linkLost(peer);
+          quotas.linkLost(peer);
         });
   }
 
   @Override
   public void unreachable(String peer) {
-    worker.execute(() -> relayClient.unreachable(peer));
+    worker.execute(
+        () -> {
+          relayClient.unreachable(peer);
+          quotas.unreachable(peer);
+        });
   }
 }
--- a/server/src/main/java/org/streamcourse/request/StreamTypes.java
+++ b/server/src/main/java/org/streamcourse/request/StreamTypes.java
@@ -5,6 +5,7 @@
 import org.streamcourse.connection.peer.LinkMessage;
 import org.streamcourse.connection.relay.RelayTypes;
 import org.streamcourse.process.MessageCodec;
+import org.streamcourse.request.quota.QuotaTypes;
 import org.streamcourse.version.control.ControlTypes;
 
 /** Lists all types that processes of the fleet exchange. */
@@ -41,6 +42,7 @@
     List<Class<?>> types = new ArrayList<>(ControlTypes.all());
     types.addAll(OWN);
     types.addAll(RelayTypes.ALL);
+    types.addAll(QuotaTypes.ALL);
     return new MessageCodec(types);
   }
 }
--- a/server/src/main/java/org/streamcourse/request/quota/LocalQuota.java
+++ b/server/src/main/java/org/streamcourse/request/quota/LocalQuota.java
@@ -2,33 +2,48 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 
 /**
  * What this node may run of one tenant's operations: a share of the tenant's limit, counted in any
- * window of time.
+ * window of time and used at a {@link QuotaPace}.
  *
- * <p>Invariants: no window holds more operations of this node than its share at its end; the share
- * rises only by the controllers' word, and what is given up by {@link #held} stays given up.
+ * <p>Invariants: no span of time holds more operations of this run than the pace allows for its
+ * share at the span's end, and no window more than the share; the share rises only by the
+ * controllers' word, and what is given up by {@link #held} stays given up.
  *
  * <p>All methods run on the proxy's worker.
  */
 public final class LocalQuota {
   private static final int NO_CEILING = Integer.MAX_VALUE;
 
+  /** Time between looks at when a run that has just started may use more of what it inherited. */
+  private static final long START_STEP_MILLIS = 20;
+
+  private final QuotaPace pace;
   private final long windowMillis;
+  private final long startedMillis;
   private final Deque<Long> ran = new ArrayDeque<>();
   private long number;
   private int operations;
+  private int inherited;
   private int ceiling = NO_CEILING;
   private boolean exhausted;
+  private boolean dropped;
+  private double tokens;
+  private long tokensAtMillis;
 
   /**
    * Creates a quota without a share.
    *
-   * @param windowMillis length of the window
+   * @param pace how fast a share may be used
+   * @param startedMillis time at which this run of the node began
    */
-  public LocalQuota(long windowMillis) {
-    this.windowMillis = windowMillis;
+  public LocalQuota(QuotaPace pace, long startedMillis) {
+    this.pace = pace;
+    this.windowMillis = pace.windowMillis();
+    this.startedMillis = startedMillis;
+    this.tokensAtMillis = startedMillis;
   }
 
   /**
@@ -36,13 +51,18 @@
    *
    * @param granted number that rises with each change of the share
    * @param share operations in a window
+   * @param ofFormerRun part of the share that a former run of the node had
    * @param most to what the share shall be lowered as soon as the window allows it
    * @param noMore whether the tenant's limit is used up, so that asking brings no more
+   * @param now present time
    */
-  public void told(long granted, int share, int most, boolean noMore) {
+  public void told(long granted, int share, int ofFormerRun, int most, boolean noMore, long now) {
     if (granted > number) {
       number = granted;
       operations = share;
+      inherited = ofFormerRun;
+      dropped = false;
+      recountTokens(now);
     }
     if (granted >= number) {
       ceiling = most;
@@ -50,6 +70,14 @@
     }
   }
 
+  /**
+   * Gives the share up for good, since the controllers may give it to others. What ran in the last
+   * window still counts as held.
+   */
+  public void drop() {
+    dropped = operations > 0;
+  }
+
   /**
    * Returns the number of the newest share.
    *
@@ -82,13 +110,38 @@
   }
 
   /**
-   * Returns the share, after giving up what is above the ceiling and not used any more.
+   * Returns the least share that allows what ran in the window that ends now.
+   *
+   * @param now present time
+   * @return operations in a window, not below {@link #used}
+   */
+  public int needed(long now) {
+    int needed = used(now);
+    int counted = 0;
+    Iterator<Long> newestFirst = ran.descendingIterator();
+    while (newestFirst.hasNext()) {
+      counted++;
+      needed = Math.max(needed, pace.needed(counted, now - newestFirst.next()));
+    }
+    return needed;
+  }
+
+  /**
+   * Returns the share, after giving up what is above the ceiling and not used any more. A run that
+   * has inherited something gives up nothing within its first window.
    *
    * @param now present time
    * @return operations in a window
    */
   public int held(long now) {
-    operations = Math.min(operations, Math.max(ceiling, used(now)));
+    int most = dropped ? 0 : ceiling;
+    if (most < operations && !startsWithLess(now)) {
+      int lowered = Math.min(operations, Math.max(most, needed(now)));
+      if (lowered < operations) {
+        operations = lowered;
+        recountTokens(now);
+      }
+    }
     return operations;
   }
 
@@ -99,33 +152,106 @@
    * @return whether it may run
    */
   public boolean take(long now) {
-    if (used(now) >= held(now)) {
+    if (!hasRoomFor(1, now)) {
       return false;
     }
+    tokens--;
     ran.addLast(now);
     return true;
   }
 
+  /**
+   * Tells whether the share allows a number of operations at once.
+   *
+   * @param wanted number of operations
+   * @param now present time
+   * @return true if {@link #take} would succeed so often
+   */
+  public boolean hasRoomFor(int wanted, long now) {
+    int after = used(now) + wanted;
+    refill(now);
+    boolean ofStart =
+        !startsWithLess(now)
+            || after <= pace.sinceStart(operations, inherited, now - startedMillis);
+    return !dropped && after <= held(now) && tokens >= wanted && ofStart;
+  }
+
+  private boolean startsWithLess(long now) {
+    return inherited > 0 && now - startedMillis < windowMillis;
+  }
+
+  private void refill(long now) {
+    double refilled = tokens + pace.perMilli(operations) * (now - tokensAtMillis);
+    tokens = Math.min(pace.burst(operations), refilled);
+    tokensAtMillis = now;
+  }
+
+  /** What the bucket would hold if it had had its present size through the last window. */
+  private void recountTokens(long now) {
+    used(now);
+    double burst = pace.burst(operations);
+    double left = burst;
+    int counted = 0;
+    Iterator<Long> newestFirst = ran.descendingIterator();
+    while (newestFirst.hasNext()) {
+      counted++;
+      long span = now - newestFirst.next();
+      left = Math.min(left, burst + pace.perMilli(operations) * span - counted);
+    }
+    tokens = left;
+    tokensAtMillis = now;
+  }
+
   /**
    * Uncounts an operation that certainly was not run.
    *
    * @param takenMillis time at which it was counted
+   * @param now present time
    */
-  public void giveBack(long takenMillis) {
-    ran.removeLastOccurrence(takenMillis);
+  public void giveBack(long takenMillis, long now) {
+    if (ran.removeLastOccurrence(takenMillis)) {
+      recountTokens(now);
+    }
   }
 
   /**
-   * Returns when this node's window has room again, by its present share alone.
+   * Returns when there is room again, by this node's present share alone.
    *
+   * @param wanted number of operations
    * @param now present time
-   * @return milliseconds, or the whole window when the node has no share
+   * @return milliseconds, or the whole window when the share never has so much room
    */
-  public long roomInMillis(long now) {
-    int used = used(now);
-    if (used < held(now)) {
+  public long roomInMillis(int wanted, long now) {
+    if (hasRoomFor(wanted, now)) {
       return 0;
     }
-    return ran.isEmpty() ? windowMillis : windowMillis - (now - ran.peekFirst());
+    if (wanted > operations) {
+      return windowMillis;
+    }
+    double lacking = Math.max(0, wanted - tokens);
+    long millis = (long) Math.ceil(lacking / pace.perMilli(operations));
+    return Math.min(windowMillis, Math.max(millis, Math.max(ofWindow(wanted, now), ofStart(now))));
+  }
+
+  /** Time until the window has room for so many. */
+  private long ofWindow(int wanted, long now) {
+    int toLeave = used(now) + wanted - operations;
+    Iterator<Long> oldestFirst = ran.iterator();
+    long leaves = 0;
+    for (int i = 0; i < toLeave && oldestFirst.hasNext(); i++) {
+      leaves = oldestFirst.next() + windowMillis - now;
+    }
+    return leaves;
+  }
+
+  /** Time until a run that has just started may use one more. */
+  private long ofStart(long now) {
+    long millis = 0;
+    int after = used(now) + 1;
+    while (startsWithLess(now + millis)
+        && pace.sinceStart(operations, inherited, now + millis - startedMillis) < after) {
+      millis += START_STEP_MILLIS;
+    }
+    return millis;
   }
 }
--- a/server/src/main/java/org/streamcourse/request/quota/QuotaRequest.java
+++ b/server/src/main/java/org/streamcourse/request/quota/QuotaRequest.java
@@ -28,8 +28,7 @@
   /**
    * It may not run now.
    *
-   * @param cause why
-   * @param retryAfterMillis when there may be room
+   * @param refusal why, and when to come back
    */
-  void refused(String cause, long retryAfterMillis);
+  void refused(QuotaRefusal refusal);
 }
--- a/server/src/main/java/org/streamcourse/request/quota/TenantQuotas.java
+++ b/server/src/main/java/org/streamcourse/request/quota/TenantQuotas.java
@@ -27,7 +27,7 @@
  *
  * <p>All methods run on the proxy's worker.
  */
-public final class TenantQuotas {
+public final class TenantQuotas implements OperationLimits {
   /** An answer takes two ways to the leader, a round among the controllers, and a look each. */
   static final long ASKED_WAIT_MILLIS = 400;
 
@@ -46,6 +46,15 @@
   /** Time from the start of a run until shares of tenants that it has not seen are given back. */
   private static final long SETTLED_MILLIS = 10_000;
 
+  /** Operations of a tenant that wait at once; more would wait for longer than they may. */
+  private static final int MOST_WAITING = 64;
+
+  /**
+   * Operations beyond those used by which a share is kept larger for bursts. More would keep much
+   * of a flooded limit where it is not needed.
+   */
+  private static final int MOST_FOR_BURSTS = 12;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** An operation that waits. */
@@ -67,7 +76,8 @@
   }
 
   private final Worker worker;
-  private final QuotaSettings settings;
+  private final QuotaPace pace;
+  private final String node;
   private final long run;
   private final long startedMillis;
   private final BooleanSupplier holdsShares;
@@ -77,55 +87,48 @@
   private long reportedMillis = NEVER;
   private long completedMillis = NEVER;
   private boolean reportScheduled;
+  private boolean held;
+  private boolean lapsed;
 
   /**
    * Creates quotas without shares.
    *
    * @param worker the proxy's worker
-   * @param settings how limits are counted
+   * @param pace how fast shares may be used
+   * @param node name of this node
    * @param run number of this run of the node
    * @param holdsShares tells whether the controllers have confirmed this node lately enough
    * @param toLeader brings a report to the leading controller, or loses it
    */
   public TenantQuotas(
       Worker worker,
-      QuotaSettings settings,
+      QuotaPace pace,
+      String node,
       long run,
       BooleanSupplier holdsShares,
       Consumer<QuotaReport> toLeader) {
     this.worker = worker;
-    this.settings = settings;
+    this.pace = pace;
+    this.node = node;
     this.run = run;
     this.startedMillis = worker.now();
     this.holdsShares = holdsShares;
     this.toLeader = toLeader;
   }
 
-  /**
-   * Returns what was decided so far.
-   *
-   * @return counters
-   */
+  @Override
   public QuotaCounts counts() {
     return counts;
   }
 
-  /**
-   * Asks for an operation.
-   *
-   * @param rule rule of its tenant
-   * @param request hears the outcome, at once or later
-   * @return takes the request back while it waits
-   */
+  @Override
   public Disposable admit(TenantRule rule, QuotaRequest request) {
     if (!rule.isLimited()) {
       request.admitted(QuotaPermit.UNCOUNTED);
       return () -> {};
     }
     long now = worker.now();
-    State state =
-        states.computeIfAbsent(
-            rule.id(), any -> new State(new LocalQuota(settings.windowMillis())));
+    State state = state(rule.id());
     state.usedMillis = now;
     if (state.waiting.isEmpty() && take(state, now)) {
       admitted(request, state, now, now);
@@ -144,18 +147,40 @@
     return () -> {};
   }
 
+  private State state(TenantId tenant) {
+    return states.computeIfAbsent(tenant, any -> new State(new LocalQuota(pace, startedMillis)));
+  }
+
   private boolean take(State state, long now) {
-    return holdsShares.getAsBoolean() && state.quota.take(now);
+    return mayUseShares() && state.quota.take(now);
+  }
+
+  /**
+   * Drops all shares once the last confirmation is too old: the controllers may have given them to
+   * others by the time at which the next one comes.
+   */
+  private boolean mayUseShares() {
+    boolean holds = holdsShares.getAsBoolean();
+    if (!holds && held) {
+      lapsed = true;
+      states.values().forEach(state -> state.quota.drop());
+    }
+    held = holds;
+    lapsed &= !holds;
+    return holds;
   }
 
   private void admitted(QuotaRequest request, State state, long since, long now) {
     state.admittedSinceTold++;
     counts.admitted(now - since);
-    request.admitted(() -> state.quota.giveBack(now));
+    request.admitted(() -> state.quota.giveBack(now, worker.now()));
   }
 
-  private boolean mayComeSoon(State state, long now, long wait) {
-    return !state.quota.isExhausted() || state.quota.roomInMillis(now) <= wait;
+  /** Whether an operation behind those that wait may have room in time. */
+  private static boolean mayComeSoon(State state, long now, long wait) {
+    int ahead = state.waiting.size();
+    return ahead < MOST_WAITING
+        && (!state.quota.isExhausted() || state.quota.roomInMillis(ahead + 1, now) <= wait);
   }
 
   private void expire(State state, Waiting waiting) {
@@ -167,33 +192,34 @@
   private void refuse(State state, Waiting waiting, long now) {
     state.refusedSinceTold++;
     counts.refused();
-    int used = state.quota.used(now);
-    String cause =
-        "the limit of tenant "
-            + waiting.request().tenant()
-            + ": "
-            + used
-            + " of "
-            + state.quota.held(now)
-            + " operations in "
-            + settings.windowMillis()
-            + " ms here, share "
-            + state.quota.number()
-            + (state.quota.isExhausted() ? ", no more to be had" : ", more was asked for")
-            + (holdsShares.getAsBoolean() ? "" : ", not confirmed by the controllers");
+    QuotaRefusal refusal =
+        new QuotaRefusal(
+            waiting.request().tenant(),
+            reason(state),
+            node,
+            state.quota.used(now),
+            state.quota.held(now),
+            retryAfterMillis(state, now));
     askAhead(state, now);
-    waiting.request().refused(cause, retryAfterMillis(state, now));
+    waiting.request().refused(refusal);
+  }
+
+  private QuotaRefusal.Reason reason(State state) {
+    if (!holdsShares.getAsBoolean()) {
+      return QuotaRefusal.Reason.NOT_CONFIRMED;
+    }
+    return state.quota.isExhausted() ? QuotaRefusal.Reason.NO_MORE : QuotaRefusal.Reason.NO_ANSWER;
   }
 
   /** Where more may be given, that takes another question; else this node's window must move on. */
   private static long retryAfterMillis(State state, long now) {
-    long room = Math.max(1, state.quota.roomInMillis(now));
+    long room = Math.max(1, state.quota.roomInMillis(state.waiting.size() + 1, now));
     return state.quota.isExhausted() ? room : Math.min(room, ASK_AGAIN_MILLIS);
   }
 
   /** Asks for more when what was given is used up or nearly so. */
   private void askAhead(State state, long now) {
-    boolean isShort = state.quota.used(now) + state.waiting.size() >= state.quota.held(now);
+    boolean isShort = !state.quota.hasRoomFor(state.waiting.size() + 1, now);
     if (isShort && now - state.askedMillis >= ASK_AGAIN_MILLIS) {
       state.askedMillis = now;
       reportSoon(now);
@@ -230,12 +256,18 @@
     }
   }
 
+  /** What is told as used: what the pace needed, but not all that a single burst needed. */
+  private static int asUsed(State state, long now) {
+    int most = state.quota.used(now) + MOST_FOR_BURSTS;
+    return Math.min(most, state.quota.needed(now));
+  }
+
   private static QuotaDemand demand(TenantId tenant, State state, long now) {
     return new QuotaDemand(
         tenant,
         state.quota.number(),
         state.quota.held(now),
-        state.quota.used(now),
+        asUsed(state, now),
         state.waiting.size(),
         state.admittedSinceTold,
         state.refusedSinceTold);
@@ -247,25 +279,48 @@
    * @param news what the leader said
    */
   public void receive(QuotaNews news) {
-    if (news.run() != run) {
+    mayUseShares();
+    if (news.run() != run || lapsed) {
+      // What was said before a lapse may have been given to others; the leader says it again.
       return;
     }
     long now = worker.now();
     for (QuotaShare share : news.shares()) {
+      if (share.inherited() > 0) {
+        // A former run's share is kept ready, so that the first operation need not ask for it.
+        state(share.tenant()).usedMillis = now;
+      }
       State state = states.get(share.tenant());
       if (state != null) {
-        state.quota.told(share.number(), share.operations(), share.ceiling(), share.exhausted());
+        takeIn(share, state.quota, now);
         serveWaiting(state, now);
       }
     }
   }
 
+  private static void takeIn(QuotaShare share, LocalQuota quota, long now) {
+    quota.told(
+        share.number(),
+        share.operations(),
+        share.inherited(),
+        share.ceiling(),
+        share.exhausted(),
+        now);
+  }
+
   /**
    * The controllers have confirmed this node: its shares may be used, and it is known who leads, so
    * what waits is asked for at once. A node that starts asks controllers that do not lead before.
    */
   public void confirmed() {
     long now = worker.now();
+    if (completedMillis == NEVER) {
+      // The leader hears of this run and of all that waits, and gives it what the former run had.
+      completedMillis = now;
+      report(true);
+      states.values().forEach(state -> state.askedMillis = now);
+      return;
+    }
     for (State state : List.copyOf(states.values())) {
       if (!state.waiting.isEmpty()) {
         serveWaiting(state, now);
@@ -280,9 +335,12 @@
       Waiting next = state.waiting.pollFirst();
       admitted(next.request(), state, next.sinceMillis(), now);
     }
+    int ahead = 0;
     for (Waiting waiting : List.copyOf(state.waiting)) {
+      ahead++;
       long left = waiting.sinceMillis() + ASKED_WAIT_MILLIS - now;
-      if (!mayComeSoon(state, now, left) && state.waiting.remove(waiting)) {
+      boolean late = state.quota.isExhausted() && state.quota.roomInMillis(ahead, now) > left;
+      if (late && state.waiting.remove(waiting)) {
         refuse(state, waiting, now);
       }
     }
@@ -291,6 +349,7 @@
   /** Serves what waits, gives back what is not used, and reports; to be called regularly. */
   public void check() {
     long now = worker.now();
+    mayUseShares();
     states.values().removeIf(state -> isUnused(state, now));
     // A copy, since an operation that is served or refused may be followed by another one at once.
     for (State state : List.copyOf(states.values())) {
--- a/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
@@ -138,7 +138,7 @@
    * @param tenant the tenant
    * @param number number of the newest share that the node knows; 0 for none
    * @param held operations in a window that it keeps to from now on
-   * @param used operations in the window that ends now
+   * @param used operations in the window that ends now, and what their bursts need besides
    * @param waiting operations that wait
    * @param admitted operations admitted since the report before
    * @param refused operations refused since the report before
@@ -182,10 +182,17 @@
    * @param tenant the tenant
    * @param number rises with each change
    * @param operations operations in a window
+   * @param inherited part of them that former runs of the node had, and may have used lately
    * @param ceiling to what the node shall lower it as soon as its window allows
    * @param exhausted whether asking brings no more
    */
-  record QuotaShare(TenantId tenant, long number, int operations, int ceiling, boolean exhausted) {}
+  record QuotaShare(
+      TenantId tenant,
+      long number,
+      int operations,
+      int inherited,
+      int ceiling,
+      boolean exhausted) {}
 
   /**
    * A leader's word on shares of tenants' limits.
--- a/server/src/main/java/org/streamcourse/version/control/QuotaPlanner.java
+++ b/server/src/main/java/org/streamcourse/version/control/QuotaPlanner.java
@@ -22,21 +22,29 @@
  * The leader's part in the limits of tenants: gives nodes shares of them by what they report, and
  * takes back what is not used.
  *
+ * <p>A run of a node gets the shares of the node's former runs with the first word that is heard of
+ * it. How much of a share is inherited is not agreed: a leader that did not give a share itself
+ * takes all of it as inherited while the run is younger than a window.
+ *
  * <p>Invariant: the shares of a tenant in the agreed table are never more together than its limit
  * in force when they were given. A share is lowered in the table only after its node has lowered
- * it, or {@link #GONE_MILLIS} after the node was last heard, when it has not used it any more since
- * {@link #HOLD_MILLIS}, or a window after a later run of the node was heard.
+ * it, or a window after a node that is not heard has used it for the last time, {@link
+ * #HOLD_MILLIS} after its last word, or in the same change that gives it to a later run of the
+ * node.
  *
  * <p>All methods run on the controller's worker.
  */
 public final class QuotaPlanner {
   /** Age of the last confirmed heartbeat beyond which a node makes no use of its shares. */
-  public static final long HOLD_MILLIS = 15_000;
+  public static final long HOLD_MILLIS = 11_000;
 
-  /** Silence after which a node's shares are taken back; above HOLD_MILLIS, also by slow clocks. */
-  private static final long GONE_MILLIS = 17_000;
+  /**
+   * Time beyond {@link #HOLD_MILLIS} and a window after which a silent node's shares are taken
+   * back; for slow clocks, and operations on their way to members.
+   */
+  private static final long GONE_MARGIN_MILLIS = 1_000;
 
-  /** Time added to a window before what a former run had is free. */
+  /** Time added to a window before it does not matter any more what a former run used. */
   private static final long WINDOW_MARGIN_MILLIS = 200;
 
   /** Time after which a node that still reports an older share is told again. */
@@ -77,6 +85,7 @@
   private static final class NodeState {
     private final Map<TenantId, QuotaDemand> demands = new HashMap<>();
     private final Map<TenantId, Told> told = new HashMap<>();
+    private final Map<TenantId, Integer> inherited = new HashMap<>();
     private final long run;
     private final long startedMillis;
     private boolean complete;
@@ -87,6 +96,9 @@
     }
   }
 
+  /** A share that is being agreed on, and what of it is inherited. */
+  private record Proposed(int operations, int inherited) {}
+
   /** What nodes reported of a tenant since this leadership began; lost reports are missing. */
   private static final class Totals {
     private long admitted;
@@ -118,6 +130,7 @@
   private final Map<String, Long> lastHeard = new HashMap<>();
   private final Map<TenantId, Totals> totals = new HashMap<>();
   private final Set<TenantId> due = new TreeSet<>();
+  private final Map<TenantId, Map<QuotaHolder, Proposed>> proposed = new HashMap<>();
   private boolean proposing;
   private long leadsSince;
   private long allPlannedMillis;
@@ -140,6 +153,7 @@
     nodes.clear();
     lastHeard.clear();
     due.clear();
+    proposed.clear();
     totals.clear();
     proposing = false;
     leadsSince = actions.now();
@@ -182,6 +196,7 @@
       }
       state = new NodeState(report.run(), startedMillis);
       nodes.put(node, state);
+      meet(node, state);
     }
     if (report.complete()) {
       due.addAll(state.demands.keySet());
@@ -195,6 +210,21 @@
     }
   }
 
+  /** A run is heard for the first time: it gets what former runs had. */
+  private void meet(String node, NodeState state) {
+    QuotaHolder present = new QuotaHolder(node, state.run);
+    for (TenantId tenant : table.tenants()) {
+      for (QuotaGrant grant : table.of(tenant).values()) {
+        if (grant.holder().equals(present)) {
+          state.inherited.put(tenant, grant.operations());
+          due.add(tenant);
+        } else if (grant.holder().node().equals(node)) {
+          due.add(tenant);
+        }
+      }
+    }
+  }
+
   /** The change proposed last is agreed, and has had an effect unless another one came before. */
   void applied(List<QuotaGrant> granted) {
     proposing = false;
@@ -203,15 +233,48 @@
       due.add(grant.tenant());
       QuotaGrant agreed = table.of(grant.tenant()).get(grant.holder());
       if (agreed != null) {
+        noteInherited(agreed);
         QuotaShare share =
             new QuotaShare(
-                grant.tenant(), agreed.number(), agreed.operations(), Integer.MAX_VALUE, false);
+                grant.tenant(),
+                agreed.number(),
+                agreed.operations(),
+                inherited(agreed),
+                Integer.MAX_VALUE,
+                false);
         tell(grant.holder(), share, news.safe);
       }
     }
+    proposed.clear();
     news.send();
   }
 
+  /** What a former leader had proposed may be inherited as a whole. */
+  private void noteInherited(QuotaGrant agreed) {
+    NodeState state = nodes.get(agreed.holder().node());
+    if (state == null || state.run != agreed.holder().run()) {
+      return;
+    }
+    Proposed own = proposed.getOrDefault(agreed.tenant(), Map.of()).get(agreed.holder());
+    boolean known = own != null && own.operations() == agreed.operations();
+    state.inherited.put(agreed.tenant(), known ? own.inherited() : agreed.operations());
+  }
+
+  /** Operations of a share that may have been used by former runs in the window that ends now. */
+  private int inherited(QuotaGrant grant) {
+    NodeState state = nodes.get(grant.holder().node());
+    if (state == null || state.run != grant.holder().run()) {
+      return grant.operations();
+    }
+    boolean young = actions.now() - state.startedMillis <= settleMillis();
+    int inherited = state.inherited.getOrDefault(grant.tenant(), 0);
+    return young ? Math.min(grant.operations(), inherited) : 0;
+  }
+
+  private long settleMillis() {
+    return settings.windowMillis() + WINDOW_MARGIN_MILLIS;
+  }
+
   /** Plans for the tenants of which something was heard, and now and then for all. */
   void check(ClusterImage image) {
     if (proposing || image.document().tenants().isEmpty() && table.tenants().isEmpty()) {
@@ -256,7 +319,7 @@
     int reserved = 0;
     for (QuotaGrant grant : granted.values()) {
       if (!isPresent(grant.holder())) {
-        boolean free = isFree(grant.holder());
+        boolean free = nodes.containsKey(grant.holder().node()) || isGone(grant.holder().node());
         reserved += free ? 0 : grant.operations();
         if (free) {
           changes.add(new QuotaGrant(tenant, grant.holder(), 0, 0));
@@ -268,7 +331,13 @@
       QuotaHolder holder = new QuotaHolder(each.getKey(), each.getValue().run);
       QuotaGrant grant = granted.get(holder);
       QuotaDemand demand = each.getValue().demands.get(tenant);
-      if (demand != null) {
+      int former = ofFormerRuns(holder, granted);
+      if (former > 0 && !(demand == null && each.getValue().complete)) {
+        // Within this change it is taken from the former run.
+        int all = former + (grant == null ? 0 : grant.operations());
+        propose(new QuotaGrant(tenant, holder, 0, all), former, changes);
+        reserved += all;
+      } else if (demand != null) {
         int held = heldBy(grant, demand);
         needs.add(new QuotaPlan.Need(holder, held, demand.used(), demand.shortBy()));
       } else if (grant != null && each.getValue().complete) {
@@ -287,17 +356,33 @@
     return state != null && state.run == holder.run();
   }
 
-  /** Whether a run that is not the node's present one, or was not heard, uses its share no more. */
-  private boolean isFree(QuotaHolder holder) {
-    long now = actions.now();
-    NodeState state = nodes.get(holder.node());
-    boolean replaced =
-        state != null && now - state.startedMillis > settings.windowMillis() + WINDOW_MARGIN_MILLIS;
-    return replaced || isGone(holder.node());
+  /** What former runs of a holder's node have; nothing of it may be used any more by them. */
+  private static int ofFormerRuns(QuotaHolder present, Map<QuotaHolder, QuotaGrant> granted) {
+    int operations = 0;
+    for (QuotaGrant grant : granted.values()) {
+      boolean former =
+          grant.holder().node().equals(present.node()) && grant.holder().run() != present.run();
+      operations += former ? grant.operations() : 0;
+    }
+    return operations;
+  }
+
+  /** Proposes a share that holds so much of former runs, besides what was inherited before. */
+  private void propose(QuotaGrant change, int former, List<QuotaGrant> changes) {
+    QuotaGrant present = table.of(change.tenant()).get(change.holder());
+    int inherited = former + (present == null ? 0 : inherited(present));
+    changes.add(change);
+    proposed
+        .computeIfAbsent(change.tenant(), any -> new HashMap<>())
+        .put(change.holder(), new Proposed(change.operations(), inherited));
+  }
+
+  private long goneMillis() {
+    return HOLD_MILLIS + settings.windowMillis() + GONE_MARGIN_MILLIS;
   }
 
   private boolean isGone(String node) {
-    return actions.now() - lastHeard.getOrDefault(node, leadsSince) > GONE_MILLIS;
+    return actions.now() - lastHeard.getOrDefault(node, leadsSince) > goneMillis();
   }
 
   /** What a node that knows its newest share has lowered it to, else the share itself. */
@@ -316,8 +401,10 @@
       List<QuotaGrant> changes,
       News news) {
     int agreed = grant == null ? 0 : grant.operations();
-    if (share.operations() != agreed) {
-      changes.add(new QuotaGrant(tenant, share.holder(), 0, share.operations()));
+    int held = heldBy(grant, nodes.get(share.holder().node()).demands.get(tenant));
+    // What a node has given up comes back only with a new number.
+    if (share.operations() != agreed || share.operations() > held) {
+      propose(new QuotaGrant(tenant, share.holder(), 0, share.operations()), 0, changes);
     }
     QuotaDemand demand = nodes.get(share.holder().node()).demands.get(tenant);
     long number = grant == null ? table.number() : grant.number();
@@ -327,7 +414,13 @@
     if (unknown || lost || lower || share.exhausted()) {
       tell(
           share.holder(),
-          new QuotaShare(tenant, number, agreed, share.ceiling(), share.exhausted()),
+          new QuotaShare(
+              tenant,
+              number,
+              agreed,
+              grant == null ? 0 : inherited(grant),
+              share.ceiling(),
+              share.exhausted()),
           unknown ? news.toConfirm : news.safe);
     }
   }
