Links: what is sent is counted by kind and distance; a busy link to another region is one compressed stream

A link to another region that has carried 2 KB of short messages becomes one compressed stream, flushed after each message: what was said before takes two or three bytes. It costs the sender 268 KB a link, which is why links within a region and quiet ones have none.

Weighed: a dictionary shared by all. It can't hold names, addresses and members, which are what is repeated.

On the real sockets of LinkTest 500 messages take less than half of their bytes.

--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
 import org.streamcourse.connection.peer.PeerAddress;
+import org.streamcourse.connection.peer.PeerDistance;
 import org.streamcourse.connection.peer.PeerHandler;
 import org.streamcourse.connection.peer.TcpPeerNetwork;
 import org.streamcourse.connection.relay.RelayMessage;
@@ -18,6 +20,7 @@
 import org.streamcourse.process.settings.HostPort;
 import org.streamcourse.request.StreamMessage.KeepStreams;
 import org.streamcourse.request.StreamTypes;
+import org.streamcourse.version.image.Place;
 import org.testng.annotations.Test;
 import reactor.netty.resources.LoopResources;
 
@@ -83,6 +86,33 @@
     loops.dispose();
   }
 
+  @Test
+  public void aBusyLinkToAnotherRegionIsCompressedAndLosesNothing() throws Exception {
+    LoopResources loops = LoopResources.create("far-test", 2, true);
+    int portOfEdge = freePort();
+    int portOfHolder = freePort();
+    Counts edge = new Counts();
+    Counts holder = new Counts();
+    TcpPeerNetwork edgeNetwork = network("edge", loops, portOfHolder);
+    TcpPeerNetwork holderNetwork = network("holder", loops, portOfEdge);
+    edgeNetwork.standsAt(new Place("r1", "r1-a"));
+    holderNetwork.standsAt(new Place("r2", "r2-a"));
+    edgeNetwork.start(HOST, portOfEdge, edge);
+    holderNetwork.start(HOST, portOfHolder, holder);
+    holderNetwork.send("edge", new KeepStreams(List.of(1L)));
+    await().atMost(PATIENCE).until(() -> edge.received.get() == 1);
+    List<Long> streams = LongStream.range(0, 40).boxed().toList();
+    int messages = 500;
+    for (int i = 0; i < messages; i++) {
+      edgeNetwork.send("holder", new KeepStreams(streams));
+    }
+    await().atMost(PATIENCE).until(() -> holder.received.get() == messages);
+    long plain = (long) messages * StreamTypes.codec().encode(new KeepStreams(streams)).length;
+    assertTrue(2 * edgeNetwork.sentBytes() < plain, edgeNetwork.sentBytes() + " for " + plain);
+    edgeNetwork.traffic().forEach(each -> assertEquals(each.distance(), PeerDistance.OTHER_REGION));
+    loops.dispose();
+  }
+
   @Test
   public void linkThatACutLeavesStuckIsReplaced() throws Exception {
     LoopResources loops = LoopResources.create("stuck-test", 2, true);
--- a/server/src/main/java/org/streamcourse/connection/peer/FrameCompression.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/FrameCompression.java
@@ -10,12 +10,16 @@
 
 /**
  * Shortens long messages between processes, such as a configuration that goes to every node of
- * another region. The first byte of a frame tells whether the rest is compressed.
+ * another region. The first byte of a frame tells whether the rest is compressed, alone or as a
+ * part of the link's stream.
  */
 final class FrameCompression {
   private static final byte PLAIN = 0;
   private static final byte COMPRESSED = 1;
 
+  /** First byte of a frame that continues the link's compressed stream. */
+  static final byte STREAM = 2;
+
   /** Messages shorter than this are not worth the processor time. */
   private static final int MIN_BYTES = 1_024;
 
@@ -77,7 +81,7 @@
     }
   }
 
-  private static StreamcourseException unreadable(String why, Throwable cause) {
+  static StreamcourseException unreadable(String why, Throwable cause) {
     return new StreamcourseException(
         ErrorCode.PROTOCOL_VIOLATION, "unpack", "", "unreadable frame: " + why, 0, cause);
   }
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -22,6 +22,7 @@
 import org.streamcourse.process.FleetKey;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.process.StreamcourseException;
+import org.streamcourse.version.image.Place;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.resources.LoopResources;
@@ -46,6 +47,9 @@
   /** Silence that is borne on links whose peers need not answer. */
   private static final Duration ANY_SILENCE = Duration.ofDays(1);
 
+  /** An encoded message. */
+  private record Outgoing(byte[] bytes, Class<?> kind, boolean expectsAnswer) {}
+
   private final String self;
   private final MessageCodec codec;
   private final FleetKey key;
@@ -54,6 +58,9 @@
   private final Duration silence;
   private final Map<String, Link> links = new ConcurrentHashMap<>();
   private final Set<String> greeted = ConcurrentHashMap.newKeySet();
+  private final Map<String, Place> places = new ConcurrentHashMap<>();
+  private final LinkTraffic traffic = new LinkTraffic();
+  private volatile Place place;
   private volatile boolean stopped;
   private final AtomicLong sentBytes = new AtomicLong();
   private final AtomicLong receivedBytes = new AtomicLong();
@@ -105,6 +112,24 @@
     this.silence = silence;
   }
 
+  /**
+   * Sets where this process stands, which its peers hear in the first message on each link.
+   *
+   * @param value place; to be set before the start
+   */
+  public void standsAt(Place value) {
+    place = value;
+  }
+
+  /**
+   * Returns what was sent by kind and distance.
+   *
+   * @return counters
+   */
+  public LinkTraffic traffic() {
+    return traffic;
+  }
+
   /**
    * Starts to accept links.
    *
@@ -156,7 +181,7 @@
     if (stopped) {
       return;
     }
-    sendFrame(peer, FrameCompression.pack(codec.encode(message)), message);
+    send(peer, outgoing(message));
   }
 
   @Override
@@ -164,13 +189,22 @@
     if (stopped) {
       return;
     }
-    byte[] frame = FrameCompression.pack(codec.encode(message));
-    peers.forEach(peer -> sendFrame(peer, frame, message));
+    Outgoing outgoing = outgoing(message);
+    peers.forEach(peer -> send(peer, outgoing));
+  }
+
+  private Outgoing outgoing(Object message) {
+    return new Outgoing(
+        codec.encode(message), LinkTraffic.kindOf(message), !(message instanceof OneWayMessage));
+  }
+
+  private void send(String peer, Outgoing message) {
+    links.computeIfAbsent(peer, Link::new).send(message);
   }
 
-  private void sendFrame(String peer, byte[] frame, Object message) {
-    sentBytes.addAndGet(frame.length + LENGTH_BYTES);
-    links.computeIfAbsent(peer, Link::new).send(frame, !(message instanceof OneWayMessage));
+  /** A peer's place is known once it has opened a link to this process. */
+  private PeerDistance distanceTo(String peer) {
+    return PeerDistance.between(place, places.get(peer));
   }
 
   private void accept(Connection connection) {
@@ -205,6 +239,7 @@
 
   /** Reads the messages of a link that a peer opened. */
   private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+    private final FrameReader reader = new FrameReader();
     private String peer;
 
     @Override
@@ -212,7 +247,7 @@
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
       receivedBytes.addAndGet(bytes.length + LENGTH_BYTES);
-      Object message = codec.decode(FrameCompression.unpack(bytes));
+      Object message = codec.decode(reader.read(bytes));
       if (peer != null) {
         heard(peer);
         handler.receive(peer, message);
@@ -220,6 +255,9 @@
       }
       if (message instanceof LinkHello hello && isFromFleet(hello)) {
         peer = hello.name();
+        if (hello.place() != null) {
+          places.put(peer, hello.place());
+        }
         accepted(peer);
       } else {
         LOG.warn("refuses a link from {}", context.channel().remoteAddress());
@@ -234,6 +272,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
+      reader.close();
       if (peer != null) {
         handler.linkLost(peer);
       }
@@ -252,7 +291,8 @@
   /** A link that this process opens; guarded by its own lock, never held while calling out. */
   private final class Link {
     private final String peer;
-    private final List<byte[]> waiting = new ArrayList<>();
+    private final List<Outgoing> waiting = new ArrayList<>();
+    private FramePacker packer = new FramePacker();
     private Channel channel;
     private boolean dialing;
     private long lastDialNanos;
@@ -278,12 +318,12 @@
       }
     }
 
-    synchronized void send(byte[] bytes, boolean expectsAnswer) {
+    synchronized void send(Outgoing message) {
       if (channel != null && channel.isActive()) {
-        dropWhenStuck(expectsAnswer);
+        dropWhenStuck(message.expectsAnswer());
       }
       if (channel != null && channel.isActive()) {
-        write(bytes);
+        write(message);
         return;
       }
       if (channel != null) {
@@ -293,18 +333,22 @@
         handler.linkLost(peer);
       }
       if (waiting.size() < MAX_WAITING) {
-        waiting.add(bytes);
+        waiting.add(message);
       }
       dial();
     }
 
-    private void write(byte[] bytes) {
+    private void write(Outgoing message) {
       if (channel.unsafe().outboundBuffer() != null
           && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
         LOG.warn("link to {} is stuck; closes it", peer);
         channel.close();
         return;
       }
+      PeerDistance distance = distanceTo(peer);
+      byte[] bytes = packer.pack(message.bytes(), distance == PeerDistance.OTHER_REGION);
+      sentBytes.addAndGet(LENGTH_BYTES + bytes.length);
+      traffic.sent(message.kind(), distance, LENGTH_BYTES + bytes.length);
       // Length and content in one buffer, so that one call of the system writes both.
       ByteBuf frame = Unpooled.buffer(LENGTH_BYTES + bytes.length);
       frame.writeInt(bytes.length).writeBytes(bytes);
@@ -345,8 +389,10 @@
       Channel opened = connection.channel();
       channel = opened;
       dialing = false;
-      LinkHello hello = new LinkHello(LinkMessage.PROTOCOL_VERSION, self, key.sign(self));
-      write(FrameCompression.pack(codec.encode(hello)));
+      LinkHello hello = new LinkHello(LinkMessage.PROTOCOL_VERSION, self, key.sign(self), place);
+      packer.close();
+      packer = new FramePacker();
+      write(outgoing(hello));
       waiting.forEach(this::write);
       waiting.clear();
       // Last, since a connection that is gone already is told at once.
@@ -378,6 +424,7 @@
         return false;
       }
       channel = null;
+      packer.close();
       return true;
     }
 
--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -78,6 +78,7 @@
         "streamcourse_commit_index",
         "Last committed entry.",
         () -> node.controller().agreement().commitIndex());
+    metrics.linkTraffic(network.traffic());
     metrics.gauge("streamcourse_link_sent_bytes", "Bytes sent on links.", network::sentBytes);
     metrics.gauge(
         "streamcourse_link_received_bytes", "Bytes received on links.", network::receivedBytes);
--- a/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
+++ b/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
@@ -1,6 +1,7 @@
 package org.streamcourse.process;
 
 import com.sun.net.httpserver.HttpServer;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
@@ -15,12 +16,18 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import org.streamcourse.connection.peer.LinkTraffic;
 import org.streamcourse.process.settings.HostPort;
 
 /** Serves the process's metrics as Prometheus text at {@code /metrics}. */
 public final class MetricsEndpoint {
   private static final int HTTP_OK = 200;
 
+  /** Labels of what is sent over links. */
+  private static final String KIND = "kind";
+
+  private static final String DISTANCE = "distance";
+
   /** Bounds of the histograms' buckets. */
   private static final Duration SHORTEST = Duration.ofMillis(1);
 
@@ -47,6 +54,28 @@
     Gauge.builder(name, value).description(help).register(registry);
   }
 
+  /**
+   * Adds counters of what is sent over links, by kind of message and distance.
+   *
+   * @param traffic counts it
+   */
+  public void linkTraffic(LinkTraffic traffic) {
+    traffic.onNewCounter(this::linkCounter);
+    traffic.forEach(this::linkCounter);
+  }
+
+  private void linkCounter(LinkTraffic.Counter counter) {
+    FunctionCounter.builder("streamcourse_peer_sent_bytes", counter, each -> (double) each.bytes())
+        .description("Bytes written to links, after compression.")
+        .tags(KIND, counter.kind(), DISTANCE, counter.distance().label())
+        .register(registry);
+    FunctionCounter.builder(
+            "streamcourse_peer_sent_messages", counter, each -> (double) each.messages())
+        .description("Messages written to links.")
+        .tags(KIND, counter.kind(), DISTANCE, counter.distance().label())
+        .register(registry);
+  }
+
   /**
    * Adds a histogram of times.
    *
--- a/server/src/main/java/org/streamcourse/process/ProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyProcess.java
@@ -67,13 +67,15 @@
     MessageCodec codec = StreamTypes.codec();
     FleetKey key = new FleetKey(settings.fleetKey());
     network = new TcpPeerNetwork(settings.name(), codec, key, loops, this::addressOf);
+    Place place = new Place(settings.region(), settings.zone());
+    network.standsAt(place);
     NodeImage self =
         new NodeImage(
             settings.name(),
             System.currentTimeMillis(),
             settings.links().host(),
             settings.links().port(),
-            new Place(settings.region(), settings.zone()),
+            place,
             false);
     TcpMemberConnector connector =
         new TcpMemberConnector(
@@ -154,6 +156,7 @@
   }
 
   private void addMetrics() {
+    metrics.linkTraffic(network.traffic());
     metrics.gauge("streamcourse_sessions", "Logged-in callers.", sessions::count);
     metrics.gauge(
         "streamcourse_edge_streams",
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -60,6 +60,7 @@
             loop,
             ControllerAddresses::addressOf,
             ControllerAddresses.LINK_SILENCE);
+    network.standsAt(settings.place());
     disk = new FolderDisk(Path.of(settings.dataFolder()));
     node =
         new ControllerNode(
@@ -94,6 +95,7 @@
         () -> node.controller().agreement().commitIndex());
     endpoint.gauge(
         "streamcourse_image_version", "Agreed version.", () -> node.controller().image().version());
+    endpoint.linkTraffic(network.traffic());
     endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
     return endpoint;
   }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -73,15 +73,12 @@
             loop,
             ControllerAddresses::addressOf,
             ControllerAddresses.LINK_SILENCE);
+    Place place = new Place(settings.region(), settings.zone());
+    network.standsAt(place);
     Worker worker = loop.worker();
     NodeImage self =
         new NodeImage(
-            name,
-            ONLY_INCARNATION,
-            settings.links().host(),
-            settings.links().port(),
-            new Place(settings.region(), settings.zone()),
-            false);
+            name, ONLY_INCARNATION, settings.links().host(), settings.links().port(), place, false);
     RequestLog log =
         new RequestLog(
             new LineBudget(settings.linesPerSecond(), worker::now), settings.sampleEvery());
@@ -105,6 +102,7 @@
 
   private MetricsEndpoint metrics(RequestLog log) {
     MetricsEndpoint endpoint = new MetricsEndpoint();
+    endpoint.linkTraffic(network.traffic());
     log.observe(new StatementMetrics(endpoint, node, log));
     return endpoint;
   }
--- a/server/src/main/java/org/streamcourse/process/settings/ServiceControllerSettings.java
+++ b/server/src/main/java/org/streamcourse/process/settings/ServiceControllerSettings.java
@@ -4,11 +4,14 @@
 import java.util.concurrent.TimeUnit;
 import org.streamcourse.process.settings.CommonSettings.User;
 import org.streamcourse.request.quota.QuotaSettings;
+import org.streamcourse.version.image.Place;
 
 /**
  * Settings file of a controller for services whose members register themselves.
  *
  * @param name name of this controller, for logs
+ * @param region region in which it stands, or empty
+ * @param zone zone in which it stands, unique among all regions, or empty
  * @param dataFolder folder for its files
  * @param calls where it accepts calls of operators and members
  * @param links where it accepts links of other processes
@@ -26,6 +29,9 @@
  */
 public record ServiceControllerSettings(
     @Setting("Name of this controller, for logs.") String name,
+    @Setting(value = "Region in which it stands.", fallback = "none") String region,
+    @Setting(value = "Zone in which it stands, unique among all regions.", fallback = "none")
+        String zone,
     @Setting("Folder for its files.") String dataFolder,
     @Setting("Where it accepts calls of operators and members (HTTP), as IP:PORT.") HostPort calls,
     @Setting("Where it accepts links of other processes, as IP:PORT.") HostPort links,
@@ -83,6 +89,15 @@
     return Math.max(MIN_VOTERS, 2 * lostMachines + 1);
   }
 
+  /**
+   * Returns where the controller stands.
+   *
+   * @return place, or null when it was not told
+   */
+  public Place place() {
+    return region == null || zone == null ? null : new Place(region, zone);
+  }
+
   /**
    * Returns how limits of tenants are counted.
    *
--- a/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
@@ -1,6 +1,7 @@
 package org.streamcourse.version.control;
 
 import java.util.List;
+import org.streamcourse.connection.peer.Envelope;
 import org.streamcourse.version.agreement.AgreementMessage;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterDelta;
@@ -17,7 +18,8 @@
    * @param toIdentity identity for which it is meant; others drop it
    * @param message the message
    */
-  record AgreementEnvelope(String toIdentity, AgreementMessage message) implements ControlMessage {}
+  record AgreementEnvelope(String toIdentity, AgreementMessage message)
+      implements ControlMessage, Envelope {}
 
   /**
    * A request to be admitted to the agreement, for whoever leads.
--- a/server/src/test/java/org/streamcourse/process/MetricsEndpointTest.java
+++ b/server/src/test/java/org/streamcourse/process/MetricsEndpointTest.java
@@ -10,6 +10,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.function.LongConsumer;
+import org.streamcourse.connection.peer.LinkTraffic;
+import org.streamcourse.connection.peer.PeerDistance;
 import org.streamcourse.process.settings.HostPort;
 import org.testng.annotations.Test;
 
@@ -29,6 +31,9 @@
     LongConsumer busy = endpoint.histogram("streamcourse_statement", "Times.", "outcome", "busy");
     busy.accept(40);
     busy.accept(400);
+    LinkTraffic traffic = new LinkTraffic();
+    endpoint.linkTraffic(traffic);
+    traffic.sent(String.class, PeerDistance.OTHER_REGION, 12);
     HostPort address = freeAddress();
     endpoint.start(address);
     try {
@@ -39,6 +44,9 @@
       assertTrue(text.contains("streamcourse_sessions 7.0"), text);
       assertTrue(text.contains("streamcourse_statement_seconds_count{outcome=\"busy\"} 2"), text);
       assertTrue(text.contains("streamcourse_statement_seconds_bucket{outcome=\"busy\",le="), text);
+      String labels = "_total{distance=\"other-region\",kind=\"String\"} ";
+      assertTrue(text.contains("streamcourse_peer_sent_bytes" + labels + "12.0"), text);
+      assertTrue(text.contains("streamcourse_peer_sent_messages" + labels + "1.0"), text);
     } finally {
       endpoint.stop();
     }
