Controllers: an agreed entry is sent once, and a start in batches

A leader sent all entries that were not yet acknowledged with each new one, and with each round of confirmation, of which each heartbeat of a node that starts asks its own. With 20 ms between regions and a change each 3 ms an entry went out 168 times: of 5.5 MB between regions while 86 nodes start, 3.7 MB; at 300 nodes 36 of 44 MB. The rest of the start: a version for each admission, a heartbeat of every node for each version, whole histories of changes in place of shorter images, and images again before the first could arrive.

What was sent counts as on its way until the follower denies it; all denials of one gap count once a round. Rounds that something waits for begin 10 ms apart. Nodes are admitted with the supervision's 50 ms. A version in force is told with the next regular heartbeat (nodes_in_force follows up to half a second later). A heartbeat's answer brings the shorter of image and changes, and a whole image not twice within 400 ms; the heartbeats between stay unanswered, so none is confirmed that no image comes with. Stored images likewise.

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -49,7 +49,7 @@
   private long lastLeaderContact;
   private final ElectionTimer electionTimer;
   private Disposable heartbeatTimer = () -> {};
-  private boolean roundSoon;
+  private final SoonRound soonRound;
   private boolean stopped;
 
   /**
@@ -76,6 +76,7 @@
     this.settings = settings;
     this.electionTimer = new ElectionTimer(worker, settings, random, this::onElectionTimeout);
     this.applied = new AppliedState(log, machine, settings.snapshotEvery());
+    this.soonRound = new SoonRound(worker, this::startRoundSoon);
     this.sender = new EntrySender(log, network, settings.entriesPerAppend());
   }
 
@@ -183,23 +184,21 @@
    * The task is dropped when the leadership ends before.
    *
    * @param task what to run
-   * @param soon whether it gets a round of its own, shared with all such tasks of one turn of the
-   *     worker, in place of the next heartbeat's
+   * @param soon whether it gets a round of its own, shared with all such tasks of a short while, in
+   *     place of the next heartbeat's
    */
   public void whenLeadershipConfirmed(Runnable task, boolean soon) {
     if (role instanceof LeaderState leader && leader.isAnnounced()) {
       leader.waitForNextRound(task);
       if (voters().voters().size() == 1) {
         startRound(leader);
-      } else if (soon && !roundSoon) {
-        roundSoon = true;
-        worker.execute(this::startRoundSoon);
+      } else if (soon) {
+        soonRound.request();
       }
     }
   }
 
   private void startRoundSoon() {
-    roundSoon = false;
     if (!stopped && role instanceof LeaderState leader) {
       startRound(leader);
     }
@@ -383,7 +382,7 @@
 
   private void sendEntries(LeaderState leader, String identity) {
     LeaderState.Progress progress = leader.progressOf(identity, log.lastIndex(), worker.now());
-    sender.send(identity, progress.nextIndex, term(), applied.commitIndex(), leader.round());
+    sender.send(identity, progress, term(), applied.commitIndex(), leader.round());
   }
 
   private void onAppendResponse(AppendResponse response) {
@@ -395,15 +394,12 @@
     progress.lastHeardMillis = worker.now();
     progress.ackedRound = Math.max(progress.ackedRound, response.round());
     if (response.success()) {
-      progress.matchIndex = Math.max(progress.matchIndex, response.matchIndex());
-      progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+      progress.matched(response.matchIndex());
       advanceCommit(leader);
       if (role == leader && progress.nextIndex <= log.lastIndex()) {
         sendEntries(leader, response.from());
       }
-    } else {
-      long retryAt = Math.min(progress.nextIndex - 1, response.matchIndex() + 1);
-      progress.nextIndex = Math.max(progress.matchIndex + 1, retryAt);
+    } else if (progress.denied(response.matchIndex(), response.round(), leader.round())) {
       sendEntries(leader, response.from());
     }
     if (role == leader) {
--- a/server/src/main/java/org/streamcourse/version/agreement/EntrySender.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/EntrySender.java
@@ -17,24 +17,29 @@
   }
 
   /**
-   * Sends what a controller needs next; without new entries this is a heartbeat.
+   * Sends what a controller was not sent yet; without new entries this is a heartbeat. Entries are
+   * not sent again until the controller answers that it lacks them: with 40 ms between question and
+   * answer, and a change each 3 ms while a fleet starts, each would be sent a dozen times.
    *
    * @param to receiver's identity
-   * @param nextIndex first entry that it may lack
+   * @param progress what it was sent; moved on
    * @param term leader's term
    * @param commitIndex leader's commit index
    * @param round number that the answer repeats
    */
-  void send(String to, long nextIndex, long term, long commitIndex, long round) {
+  void send(String to, LeaderState.Progress progress, long term, long commitIndex, long round) {
     String self = log.quorumState().identity();
-    long previous = nextIndex - 1;
+    long previous = progress.nextIndex - 1;
     long previousTerm = log.termAt(previous);
     if (previous < log.snapshotIndex() || previousTerm < 0) {
       network.send(to, new SnapshotRequest(self, term, log.snapshot(), round));
+      progress.nextIndex = log.snapshotIndex() + 1;
       return;
     }
-    ArrayList<LogEntry> entries = new ArrayList<>(log.entriesFrom(nextIndex, entriesPerAppend));
+    ArrayList<LogEntry> entries =
+        new ArrayList<>(log.entriesFrom(progress.nextIndex, entriesPerAppend));
     network.send(
         to, new AppendRequest(self, term, previous, previousTerm, entries, commitIndex, round));
+    progress.nextIndex += entries.size();
   }
 }
--- a/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
@@ -13,15 +13,54 @@
 final class LeaderState implements RoleState {
   /** Progress of one controller. */
   static final class Progress {
+    /**
+     * First entry that was not sent yet; what was sent is taken to arrive until an answer denies.
+     */
     long nextIndex;
+
+    /** Last entry that is known to be synced there. */
     long matchIndex;
+
     long ackedRound;
     long lastHeardMillis;
 
+    /**
+     * Where sending began anew, and the round of that, after an answer that entries are missing.
+     */
+    private long resentFrom = Long.MAX_VALUE;
+
+    private long resentRound;
+
     Progress(long nextIndex, long now) {
       this.nextIndex = nextIndex;
       this.lastHeardMillis = now;
     }
+
+    /** The controller has synced all entries up to one. */
+    void matched(long index) {
+      matchIndex = Math.max(matchIndex, index);
+      nextIndex = Math.max(nextIndex, matchIndex + 1);
+    }
+
+    /**
+     * The controller lacks what an append request follows. All requests that were on their way say
+     * the same, so only the first such answer counts until a later round is denied too.
+     *
+     * @param index last entry that the controller may have
+     * @param deniedRound round of the request
+     * @param round present round
+     * @return whether to send again
+     */
+    boolean denied(long index, long deniedRound, long round) {
+      long from = Math.max(matchIndex + 1, Math.min(nextIndex - 1, index + 1));
+      if (deniedRound <= resentRound && from >= resentFrom) {
+        return false;
+      }
+      nextIndex = from;
+      resentFrom = from;
+      resentRound = round;
+      return true;
+    }
   }
 
   private record Waiting(long round, Runnable task) {}
--- a/server/src/main/java/org/streamcourse/version/control/Controller.java
+++ b/server/src/main/java/org/streamcourse/version/control/Controller.java
@@ -14,7 +14,6 @@
 import org.streamcourse.version.agreement.VoterSet;
 import org.streamcourse.version.control.ControlMessage.AgreementEnvelope;
 import org.streamcourse.version.control.ControlMessage.CommandOutcome;
-import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
 import org.streamcourse.version.control.ControlMessage.LeaderHint;
 import org.streamcourse.version.control.ControlMessage.LoggedCommand;
 import org.streamcourse.version.control.ControlMessage.MemberOrder;
@@ -25,7 +24,6 @@
 import org.streamcourse.version.control.ControlMessage.QuotaShare;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterChange.ConfigurationChange;
-import org.streamcourse.version.image.ClusterDelta;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.GroupImage;
 import org.streamcourse.version.image.QuotaHolder;
@@ -58,6 +56,7 @@
   private final ServiceSupervisor services;
   private final QuotaPlanner quotas;
   private final ImagePusher pusher;
+  private final HeartbeatReplies replies;
   private final EarlyHeartbeats early;
   private long orderIds;
   private Disposable supervision = () -> {};
@@ -96,6 +95,7 @@
     this.quotas = new QuotaPlanner(settings.quotas(), machine.quotas(), new QuotaActions());
     this.early = new EarlyHeartbeats(worker, network);
     this.pusher = new ImagePusher(worker, network, agreement, machine);
+    this.replies = new HeartbeatReplies(worker, network, agreement, machine);
     machine.listen(this);
   }
 
@@ -318,7 +318,7 @@
     admission.heard(machine.image(), heartbeat);
     registry.state(peer).ifPresent(state -> state.groupsWithNews().forEach(this::checkGroup));
     agreement.whenLeadershipConfirmed(
-        () -> reply(peer, heartbeat.sequence(), heartbeat.version(), !complete),
+        () -> replies.reply(peer, heartbeat.sequence(), heartbeat.version(), !complete),
         EarlyHeartbeats.isOfAStart(heartbeat));
   }
 
@@ -326,18 +326,6 @@
     machine.image().group(group).ifPresent(supervisors::check);
   }
 
-  private void reply(String peer, long sequence, long version, boolean reportAll) {
-    Optional<ClusterDelta> delta = machine.deltaSince(version).map(ClusterDelta::forNodes);
-    ClusterImage whole = delta.isPresent() ? null : machine.image().forNodes();
-    network.send(
-        peer,
-        new HeartbeatReply(sequence, delta.orElse(null), whole, reportAll, controllerNames()));
-  }
-
-  private List<String> controllerNames() {
-    return agreement.voters().all().stream().map(VoterSet::nameOf).distinct().toList();
-  }
-
   private void onOrderResult(MemberOrderResult result) {
     if (agreement.isLeader()) {
       supervisors.orderResult(machine.image(), result);
@@ -402,6 +390,7 @@
     services.restart();
     quotas.restart();
     pusher.restart();
+    replies.restart();
     supervision.dispose();
     Map<String, NodeHeartbeat> unanswered = early.take();
     if (leads) {
--- a/server/src/main/java/org/streamcourse/version/control/EarlyHeartbeats.java
+++ b/server/src/main/java/org/streamcourse/version/control/EarlyHeartbeats.java
@@ -19,6 +19,12 @@
   /** Time after its start in which a controller tells nodes what it stored. */
   private static final long STORED_IMAGE_MILLIS = 5_000;
 
+  /**
+   * Time until the same node is told again, if it still has nothing: it asks each 120 ms, and an
+   * image of tens of kilobytes may take as long to reach it.
+   */
+  private static final long TELL_AGAIN_MILLIS = 400;
+
   private static final int MOST_KEPT = 4_096;
 
   private final Worker worker;
@@ -27,6 +33,7 @@
   /** In the order of names, so that a simulated history repeats. */
   private final Map<String, NodeHeartbeat> kept = new TreeMap<>();
 
+  private final Map<String, Long> toldMillis = new TreeMap<>();
   private long startedMillis;
 
   EarlyHeartbeats(Worker worker, PeerNetwork network) {
@@ -50,11 +57,17 @@
       kept.put(node, heartbeat);
     }
     boolean justStarted = worker.now() - startedMillis < STORED_IMAGE_MILLIS;
-    if (justStarted && isOfAStart(heartbeat) && stored.document().isPresent()) {
+    if (justStarted && isOfAStart(heartbeat) && stored.document().isPresent() && isDue(node)) {
+      toldMillis.put(node, worker.now());
       network.send(node, new StoredImage(stored.forNodes()));
     }
   }
 
+  private boolean isDue(String node) {
+    Long told = toldMillis.get(node);
+    return told == null || worker.now() - told >= TELL_AGAIN_MILLIS;
+  }
+
   /** Forgets and returns the heartbeats by node. */
   Map<String, NodeHeartbeat> take() {
     Map<String, NodeHeartbeat> taken = new TreeMap<>(kept);
--- a/server/src/main/java/org/streamcourse/version/control/NodeAdmission.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAdmission.java
@@ -26,6 +26,7 @@
   private final Predicate<NodeImage> leavesByPlatform;
   private final GroupSupervisor.Actions actions;
   private final Map<String, Long> admitting = new HashMap<>();
+  private final List<ClusterChange> admissions = new ArrayList<>();
   private final Map<String, Long> removedAt = new HashMap<>();
   private final Map<String, Long> allowancesChangedAtVersion = new HashMap<>();
   private final Set<String> changing = new HashSet<>();
@@ -48,6 +49,7 @@
   /** Forgets everything, as a leadership begins or ends. */
   void restart(long now) {
     admitting.clear();
+    admissions.clear();
     removedAt.clear();
     allowancesChangedAtVersion.clear();
     changing.clear();
@@ -60,7 +62,10 @@
     planIncomplete = true;
   }
 
-  /** Admits the sender of a heartbeat unless it is admitted already. */
+  /**
+   * Admits the sender of a heartbeat unless it is admitted already; with the next check, so that
+   * nodes that start together are agreed on and told of together.
+   */
   void heard(ClusterImage image, NodeHeartbeat heartbeat) {
     NodeImage node = heartbeat.node();
     NodeImage admitted = image.nodes().get(node.name());
@@ -82,7 +87,7 @@
         admitted == null ? "sent a heartbeat" : "came back",
         "incarnation " + node.incarnation(),
         "admitted");
-    actions.propose(new ClusterChange.NodeAdmitted(node));
+    admissions.add(new ClusterChange.NodeAdmitted(node));
   }
 
   /** Notes at which version a member's allowances changed. */
@@ -96,8 +101,10 @@
     return group + '/' + member;
   }
 
-  /** Removes lost nodes and takes the next steps of moving allowances. */
+  /** Admits and removes nodes, and takes the next steps of moving allowances. */
   void check(ClusterImage image) {
+    admissions.forEach(actions::propose);
+    admissions.clear();
     for (NodeImage node : image.nodes().values()) {
       removeIfGone(image, node);
     }
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -66,7 +66,7 @@
   private long sequence;
   private int controllerIndex;
   private volatile long startedMillis;
-  private long lastImageRequestMillis = -IMAGE_REQUEST_MILLIS;
+  private String imageSource = "";
   private long lastAnswerMillis;
   private boolean answered;
   private boolean reportAll = true;
@@ -310,18 +310,28 @@
   /**
    * Asks another node for its image while this one has none. Controllers may be out of reach where
    * other nodes are not: without this, proxies that started behind a partition served nothing until
-   * it ended.
+   * it ended. The node that spoke last is asked again until an image is there, since a question or
+   * its answer may be lost.
    *
    * @param node name of a node that has just spoken
    */
   public void askForImage(String node) {
-    long now = worker.now();
-    if (image.version() > 0 || now - lastImageRequestMillis < IMAGE_REQUEST_MILLIS) {
+    boolean asksAlready = !imageSource.isEmpty();
+    imageSource = image.version() > 0 ? "" : node;
+    if (!asksAlready) {
+      requestImage();
+    }
+  }
+
+  private void requestImage() {
+    if (image.version() > 0 || imageSource.isEmpty()) {
+      imageSource = "";
       return;
     }
-    lastImageRequestMillis = now;
-    LOG.info("asks {} for its image, {} ms after the start", node, now - startedMillis);
-    network.send(node, new ImageRequest());
+    LOG.info(
+        "asks {} for its image, {} ms after the start", imageSource, worker.now() - startedMillis);
+    network.send(imageSource, new ImageRequest());
+    worker.schedule(IMAGE_REQUEST_MILLIS, this::requestImage);
   }
 
   /**
@@ -445,14 +455,16 @@
     }
   }
 
-  /** Brings a stored image into force. */
+  /**
+   * Brings a stored image into force. The next regular heartbeat tells of it: with one for each
+   * version, a fleet that starts would send as many heartbeats as it has nodes, times as many.
+   */
   private void install(ClusterImage next) {
     image = next;
     LOG.debug("image version {}", next.version());
     for (Consumer<ClusterImage> listener : listeners) {
       listener.accept(next);
     }
-    heartbeatSoon();
   }
 
   private void heartbeatSoon() {
--- a/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
@@ -93,6 +93,21 @@
     return known == null ? ServiceImage.empty(name) : known;
   }
 
+  /**
+   * Tells whether the image takes more bytes than the changes that led to it, roughly: a change
+   * names one node, member or group, and so does each entry of an image.
+   *
+   * @param changes number of changes
+   * @return whether to send them rather than the image
+   */
+  public boolean isLargerThan(long changes) {
+    long entries = nodes.size() + groups.size();
+    for (ServiceImage service : services.values()) {
+      entries += service.members().size();
+    }
+    return changes <= entries;
+  }
+
   /**
    * Leaves out what only controllers need.
    *
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/process/ControlFleet.java
@@ -0,0 +1,273 @@
+package org.streamcourse.process;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.streamcourse.connection.peer.LinkTraffic;
+import org.streamcourse.connection.peer.PeerDistance;
+import org.streamcourse.connection.peer.PeerHandler;
+import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.connection.peer.SimulatedLinks;
+import org.streamcourse.request.StreamTypes;
+import org.streamcourse.version.agreement.AgreementSettings;
+import org.streamcourse.version.control.ControlMessage.MemberReport;
+import org.streamcourse.version.control.ControlSettings;
+import org.streamcourse.version.control.MemberRole;
+import org.streamcourse.version.control.MemberStatus;
+import org.streamcourse.version.control.NodeAgent;
+import org.streamcourse.version.control.ServiceCall;
+import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.NodeImage;
+import org.streamcourse.version.image.Place;
+import org.streamcourse.version.image.RegisteredMember;
+import org.streamcourse.version.image.RoutingDocument;
+import org.streamcourse.version.image.SessionLimits;
+import org.streamcourse.version.image.TermPosition;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/**
+ * Controllers and nodes' agents in three regions on a virtual clock, with members that send
+ * heartbeats and whose logs grow, but without statements. It shows what the control plane sends.
+ */
+public final class ControlFleet {
+  private static final int REGIONS = 3;
+  private static final int ZONES = 2 * REGIONS;
+  private static final int MAX_VOTERS = 5;
+  private static final int SERVICES = 6;
+  private static final int MEMBERS_A_SERVICE = 3;
+
+  /** Members that a node with some 7 statements a second has heard within the last second. */
+  private static final int HEARD_MEMBERS = 6;
+
+  private static final long MEMBER_HEARTBEAT_MILLIS = 1_000;
+
+  /** Time between records of a member's log: 70 writes a second over six services. */
+  private static final long MILLIS_A_RECORD = 86;
+
+  private static final long STAGGER_MILLIS = 1_000;
+
+  private final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+  private final SimulatedLinks links = new SimulatedLinks(clock, StreamTypes.codec());
+  private final Random random = new Random(1);
+  private final Map<String, ControllerNode> controllers = new TreeMap<>();
+  private final Map<String, NodeAgent> nodes = new TreeMap<>();
+  private final List<String> controllerNames = new ArrayList<>();
+
+  /**
+   * Builds a fleet that does not run yet.
+   *
+   * @param nodeCount nodes, spread over all zones
+   */
+  public ControlFleet(int nodeCount) {
+    for (int i = 0; i < ZONES; i++) {
+      controllerNames.add("10.0." + i + ".1:7000");
+    }
+    for (int i = 0; i < ZONES; i++) {
+      addController(controllerNames.get(i), placeOf(i));
+    }
+    for (int i = 0; i < nodeCount; i++) {
+      addNode("10.1." + i / 200 + "." + i % 200 + ":7000", placeOf(i));
+    }
+  }
+
+  private static Place placeOf(int number) {
+    int region = number % REGIONS;
+    String name = "region-" + region;
+    return new Place(name, name + "-" + (number / REGIONS % 2));
+  }
+
+  private Worker worker() {
+    return SchedulerWorker.onSchedulerClock(clock);
+  }
+
+  private void addController(String name, Place place) {
+    PeerNetwork network = links.add(name, place);
+    ControllerNode node =
+        new ControllerNode(
+            name,
+            controllerNames,
+            true,
+            worker(),
+            network,
+            new MemoryDisk(),
+            StreamTypes.codec(),
+            AgreementSettings.DEFAULT.withMaxVoters(MAX_VOTERS),
+            ControlSettings.DEFAULT,
+            new Random(name.hashCode()));
+    links.attach(name, node);
+    controllers.put(name, node);
+  }
+
+  private void addNode(String name, Place place) {
+    PeerNetwork network = links.add(name, place);
+    NodeImage self =
+        new NodeImage(name, 1, name.substring(0, name.indexOf(':')), 7_000, place, false);
+    NodeAgent agent =
+        new NodeAgent(
+            worker(),
+            network,
+            new NoDisk(),
+            StreamTypes.codec(),
+            ControlSettings.DEFAULT,
+            controllerNames,
+            self);
+    agent.beforeHeartbeat(() -> reportSomeMembers(agent));
+    links.attach(
+        name,
+        new PeerHandler() {
+          @Override
+          public void receive(String peer, Object message) {
+            agent.receive(peer, message);
+          }
+
+          @Override
+          public void linkLost(String peer) {
+            // Heartbeats tell the same.
+          }
+        });
+    nodes.put(name, agent);
+  }
+
+  /** Tells of members as a node does that serves a few statements a second. */
+  private void reportSomeMembers(NodeAgent agent) {
+    if (!agent.image().document().isPresent()) {
+      return;
+    }
+    for (int i = 0; i < SERVICES * MEMBERS_A_SERVICE; i++) {
+      if (random.nextInt(SERVICES * MEMBERS_A_SERVICE) < HEARD_MEMBERS) {
+        TermPosition position = new TermPosition(1, nowMillis() / MILLIS_A_RECORD);
+        MemberStatus status =
+            new MemberStatus(1, MemberRole.REPLICA, "", position, position, position);
+        agent.report(new MemberReport(service(i), memberId(i), true, status), false);
+      } else {
+        agent.withdrawReport(service(i), memberId(i));
+      }
+    }
+  }
+
+  private static String service(int member) {
+    return "service-" + member / MEMBERS_A_SERVICE;
+  }
+
+  private static String memberId(int member) {
+    return "member-" + member + "-run-1";
+  }
+
+  /** Starts the controllers, half a second later the nodes within a second, and the members. */
+  public void start() {
+    controllers.values().forEach(ControllerNode::start);
+    advance(STAGGER_MILLIS / 2);
+    for (NodeAgent agent : nodes.values()) {
+      worker().schedule(random.nextLong(STAGGER_MILLIS), agent::start);
+    }
+    for (int i = 0; i < SERVICES * MEMBERS_A_SERVICE; i++) {
+      int member = i;
+      worker().repeat(MEMBER_HEARTBEAT_MILLIS, () -> memberHeartbeat(member, nowMillis()));
+    }
+    advance(STAGGER_MILLIS);
+    replaceDocument(1);
+  }
+
+  private void memberHeartbeat(int member, long sequence) {
+    RegisteredMember registered =
+        new RegisteredMember(
+            new MemberId(memberId(member)),
+            "10.2.0." + member,
+            5_432,
+            placeOf(member).zone(),
+            4,
+            false);
+    call(
+        member % ZONES,
+        new ServiceCall.MemberHeartbeat(
+            service(member), registered, member % MEMBERS_A_SERVICE == 0, sequence));
+  }
+
+  /** Gives a document in force to a controller. */
+  public void replaceDocument(long version) {
+    RoutingDocument document =
+        new RoutingDocument(
+            version, List.of(), List.of(), SessionLimits.DEFAULT, List.of(), "v" + version);
+    call(0, new ServiceCall.ReplaceDocument(document));
+  }
+
+  private void call(int controller, ServiceCall call) {
+    controllers.get(controllerNames.get(controller)).serviceCalls().execute(call, result -> {});
+  }
+
+  private long nowMillis() {
+    return worker().now();
+  }
+
+  /** Lets time pass. */
+  public void advance(long millis) {
+    clock.advanceTimeBy(Duration.ofMillis(millis));
+  }
+
+  public SimulatedLinks links() {
+    return links;
+  }
+
+  public Map<String, NodeAgent> nodes() {
+    return nodes;
+  }
+
+  public List<String> controllerNames() {
+    return controllerNames;
+  }
+
+  public Map<String, ControllerNode> controllers() {
+    return controllers;
+  }
+
+  /** Name of the controller that leads. */
+  public String leader() {
+    return controllers.entrySet().stream()
+        .filter(each -> each.getValue().controller().agreement().isLeader())
+        .map(Map.Entry::getKey)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Bytes sent so far over some distance. */
+  public long bytes(PeerDistance distance) {
+    return sum(counter -> counter.distance() == distance);
+  }
+
+  /** Bytes sent so far by all whose counters fit. */
+  public long sum(Predicate<LinkTraffic.Counter> wanted) {
+    long[] bytes = new long[1];
+    for (String name : names()) {
+      links
+          .trafficOf(name)
+          .forEach(counter -> bytes[0] += wanted.test(counter) ? counter.bytes() : 0);
+    }
+    return bytes[0];
+  }
+
+  /** Bytes between regions so far by kind of message. */
+  public Map<String, Long> betweenRegions() {
+    Map<String, Long> byKind = new TreeMap<>();
+    for (String name : names()) {
+      links
+          .trafficOf(name)
+          .forEach(
+              counter -> {
+                if (counter.distance() == PeerDistance.OTHER_REGION) {
+                  byKind.merge(counter.kind(), counter.bytes(), Long::sum);
+                }
+              });
+    }
+    return byKind;
+  }
+
+  private List<String> names() {
+    List<String> names = new ArrayList<>(controllers.keySet());
+    names.addAll(nodes.keySet());
+    return names;
+  }
+}
