--- a/server/src/main/java/org/streamcourse/connection/member/LinkDispatcher.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkDispatcher.java
@@ -53,6 +53,11 @@
     return slots;
   }
 
+  /** Number of requests that wait. */
+  int waiting() {
+    return waiting.size();
+  }
+
   boolean hasWaiting() {
     return !waiting.isEmpty();
   }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -1,5 +1,7 @@
 package org.streamcourse.connection.member;
 
+import static net.logstash.logback.argument.StructuredArguments.keyValue;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.process.Worker;
@@ -97,6 +99,7 @@
    */
   public void update(RegisteredMember agreed, LinkShare agreedShare) {
     member = agreed;
+    tellRole(allowance.share().role(), agreedShare);
     allowance.update(agreedShare);
     dispatcher.slots().update(agreedShare.slots());
     if (member.draining() && departure.begins(worker.now())) {
@@ -111,6 +114,19 @@
     }
   }
 
+  private void tellRole(LinkShare.Role before, LinkShare share) {
+    boolean holds = share.role() != LinkShare.Role.ASKER || before != LinkShare.Role.ASKER;
+    if (share.isOwned() && holds && share.role() != before) {
+      LOG.info(
+          "role for a member's connections {} {} {} {} {}",
+          keyValue("member", service + '/' + member.id()),
+          keyValue("role", share.role()),
+          keyValue("before", before),
+          keyValue("links", share.links()),
+          keyValue("slots", share.slots()));
+    }
+  }
+
   /**
    * Tells whether this node may have links of its own to the member.
    *
@@ -217,6 +233,24 @@
     return pool.handedOver();
   }
 
+  /**
+   * Counts the requests that wait for a link or a slot now.
+   *
+   * @return requests that wait here
+   */
+  public int waiting() {
+    return dispatcher.waiting();
+  }
+
+  /**
+   * Counts the commands that are under way at the member over this node's links.
+   *
+   * @return slots taken by this node
+   */
+  public int slotsTaken() {
+    return dispatcher.slots().underWay();
+  }
+
   /**
    * Estimates how long a new request would wait for a link.
    *
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongConsumer;
+import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.process.logging.LogQueue;
 import org.streamcourse.request.routing.RequestLog;
 import org.streamcourse.request.routing.StatementObserver;
@@ -31,6 +32,18 @@
         "streamcourse_refused_for_others",
         "Other nodes' statements that got no connection here.",
         log::refusedForOthers);
+    endpoint.gauge(
+        "streamcourse_slots_taken",
+        "Commands under way at members over this node's links.",
+        () -> node.sumOverMembers(MemberLinks::slotsTaken));
+    endpoint.gauge(
+        "streamcourse_link_requests_waiting",
+        "Statements and transactions that wait here for a link or a slot.",
+        () -> node.sumOverMembers(MemberLinks::waiting));
+    endpoint.gauge(
+        "streamcourse_links_handed_over",
+        "Idle links that ended for another tenant.",
+        () -> node.sumOverMembers(MemberLinks::handedOver));
     endpoint.gauge(
         "streamcourse_quota_admitted",
         "Operations of limited tenants that were admitted.",
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.peer.PeerHandler;
@@ -234,6 +235,19 @@
     return relayServer.streams();
   }
 
+  /**
+   * Adds up a figure of the links to all members.
+   *
+   * @param figure figure of the links to one member
+   * @return sum
+   */
+  public long sumOverMembers(ToLongFunction<MemberLinks> figure) {
+    return table.services().values().stream()
+        .flatMap(members -> members.all().stream())
+        .mapToLong(figure)
+        .sum();
+  }
+
   /**
    * Returns the node's agent.
    *
