--- a/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
@@ -34,6 +34,7 @@
 
   void add(MemberLink link) {
     links.addFirst(link);
+    needs.add(link.tenant());
   }
 
   void remove(MemberLink link) {
@@ -79,7 +80,6 @@
       }
       if (link.hasValues(request.sessionValues())) {
         links.remove(link);
-        needs.add(link.tenant());
         return link;
       }
       plain = plain == null && link.isPlain() ? link : plain;
@@ -88,7 +88,6 @@
     MemberLink chosen = plain == null ? other : plain;
     if (chosen != null) {
       links.remove(chosen);
-      needs.add(chosen.tenant());
     }
     return chosen;
   }
