Holders: a standby may have the owner's part while it serves in its place

Cause: with the owner down a standby had a tenth of the connections until the image named it owner (5 s), and transactions that rest hold them: of six only one was opened (StatementRelayTest.aStandbyHasTheOwnersPartWhileTheOwnerIsDown, seen failing so).

Change: a standby that serves anybody over its own links may have as many as the owner, until nobody has asked for 2 s. The member refuses what is too much while an owner that is dark, or cut off from some nodes, still has its own. Ruled out: larger parts for standbys at all times, which the owner's tenants would miss.

All six are opened; afterwards the standby is back to its own part.

--- a/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
@@ -25,7 +25,7 @@
 
   /** Most links, 0 when this node asks others. */
   int most() {
-    return standsIn && share.links() == 0 ? share.standInLinks() : share.links();
+    return standsIn ? Math.max(share.links(), share.standInLinks()) : share.links();
   }
 
   /** Whether another node is asked first although this one holds links. */
@@ -36,7 +36,7 @@
   /** Begins to stand in, or goes on, where it may; returns whether it begins. */
   boolean standIn(long now) {
     standsInUntilMillis = now + STAND_IN_MILLIS;
-    boolean begins = !standsIn && share.standInLinks() > 0 && share.links() == 0;
+    boolean begins = !standsIn && share.standInLinks() > share.links();
     standsIn |= begins;
     return begins;
   }
@@ -46,6 +46,11 @@
     return standsIn && now >= standsInUntilMillis;
   }
 
+  /** Whether links may be left after the end, so that those in use need not be awaited. */
+  boolean keepsLinks() {
+    return share.links() > 0;
+  }
+
   void end() {
     standsIn = false;
   }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -148,7 +148,8 @@
   }
 
   private void endStandIn() {
-    if (allowance.mayEnd(worker.now()) && pool.inUse().isEmpty()) {
+    boolean awaitsNobody = allowance.keepsLinks() || pool.inUse().isEmpty();
+    if (allowance.mayEnd(worker.now()) && awaitsNobody) {
       LOG.info("no longer stands in for the holders of {}/{}", service, member.id());
       allowance.end();
       closeSpare();
@@ -224,6 +225,15 @@
     return pool.inUse().size();
   }
 
+  /**
+   * Returns the number of this node's own links.
+   *
+   * @return links that stand or are being opened
+   */
+  public int links() {
+    return pool.size();
+  }
+
   /**
    * Counts the idle links that ended so that another tenant could have one.
    *
@@ -283,6 +293,14 @@
       acquireByRelay(request);
       return;
     }
+    serveHere(request);
+  }
+
+  /** A standby that serves anybody does so in place of the owner. */
+  private void serveHere(LinkRequest request) {
+    if (allowance.asksOwnerFirst() && allowance.standIn(worker.now())) {
+      LOG.info("stands in for the owner of {}/{}", service, member.id());
+    }
     dispatcher.serveOrWait(request);
   }
 
@@ -304,7 +322,7 @@
     if (link != null) {
       dispatcher.grant(request, link);
     } else if (holdsLinks()) {
-      dispatcher.serveOrWait(request);
+      serveHere(request);
     } else {
       relayed.rest(RETRY_MILLIS);
       request.refused("no node that holds connections to the member answers", RETRY_MILLIS);
--- a/server/src/main/java/org/streamcourse/version/image/LinkShares.java
+++ b/server/src/main/java/org/streamcourse/version/image/LinkShares.java
@@ -99,7 +99,7 @@
         member.slots(),
         without(node, holders),
         without(node, standIns),
-        standIns.contains(node) ? standbysPart(usable) : 0);
+        standInLinks(role, standIns.contains(node), usable));
   }
 
   private static LinkShare.Role role(String node, List<String> holders) {
@@ -118,6 +118,18 @@
     };
   }
 
+  /**
+   * A standby may have the owner's part while it serves in its place: transactions that rest hold
+   * links, so with its own part alone it would starve. The member refuses what is too much while
+   * connections of a dark owner still count there.
+   */
+  private static int standInLinks(LinkShare.Role role, boolean standsIn, int usable) {
+    if (role == LinkShare.Role.STANDBY) {
+      return ownersPart(usable);
+    }
+    return standsIn ? standbysPart(usable) : 0;
+  }
+
   private static int ownersPart(int usable) {
     int leftByStandbys = usable - (holders(usable) - 1) * standbysPart(usable);
     return Math.max(1, Math.min((int) (usable * OWNERS_SHARE), leftByStandbys));
--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberLink;
 import org.streamcourse.connection.relay.RelayClient;
 import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.connection.relay.RelayServer;
@@ -249,6 +250,24 @@
     assertEquals(writesRun(), 1);
   }
 
+  /** Each transaction holds a link; a standby's own part is one here. */
+  @Test
+  public void aStandbyHasTheOwnersPartWhileTheOwnerIsDown() {
+    String owner = firstHolder(ScriptedService.PRIMARY);
+    down.add(owner);
+    for (int i = 0; i < 6; i++) {
+      StatementRequest request =
+          new StatementRequest(new StatementId("t" + i), "WRITE x y", new Statement.Write());
+      service.start(origin.table, request, StatementPlan.PRIMARY_TRANSACTION);
+    }
+    service.pass(400);
+    assertEquals(service.opened.size(), 6, "transactions are open");
+    service.opened.forEach(MemberLink::close);
+    service.pass(3_000);
+    String standby = share(ScriptedService.PRIMARY, origin.name).holders().get(1);
+    assertEquals(nodes.get(standby).table.service("s").primary().links(), 1);
+  }
+
   /** Else the standbys would send a crowded member more than its slots take. */
   @Test
   public void whatTheOwnerHasNoRoomForIsNotBroughtToAStandby() {
