Routing: a hung member stays left out when its links are given up; a withdrawn read is not begun

Cause: a member that accepts connections and answers no statement was taken to speak each time its holder looked whether it lives, and to owe nothing once the statements there had timed out, so reads went back to it each second. A read that had its answer from a second member was still run by the first when it had only waited for a connection there.

Change: silence is the time since the last answer to a statement, and is remembered for as long again after the links that owed answers are gone (`MemberKnowledge`). `Withdraw` ends a stream that has no connection yet; what runs goes on, so that its connection is kept.

--- a/server/src/main/java/org/streamcourse/connection/member/MemberChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberChannel.java
@@ -47,6 +47,12 @@
     return true;
   }
 
+  /**
+   * Tells that nobody waits for the answer any more: what has not begun need not be run. The
+   * connection may end, and is kept where it runs already.
+   */
+  default void withdraw() {}
+
   /** Closes the connection; the member rolls back what is open on it. */
   void close();
 }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberKnowledge.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberKnowledge.java
@@ -18,13 +18,22 @@
 
   private static final double SECOND_MILLIS = 1_000;
 
+  /**
+   * Silence of a member that owes answers, after which it counts as hung; the same after which its
+   * holder looks whether it lives.
+   */
+  public static final long HUNG_MILLIS = 250;
+
   private final LongSupplier clock;
   private final LongSupplier waitMillis;
-  private final LongSupplier silentMillis;
+  private final LongSupplier oldestUnansweredMillis;
   private final ReplicaLag lag = new ReplicaLag();
   private long toldWaitMillis;
   private long toldSilentMillis;
   private long toldMillis = Long.MIN_VALUE / 2;
+  private long answeredMillis = Long.MIN_VALUE / 2;
+  private long hungMillis;
+  private long hungAtMillis;
   private long askedMillis = Long.MIN_VALUE / 2;
 
   /**
@@ -32,23 +41,20 @@
    *
    * @param clock tells worker time in milliseconds
    * @param waitMillis estimates the wait for one of this node's own links
-   * @param silentMillis tells how long the member has owed answers on this node's own links
+   * @param oldestUnansweredMillis tells since when the member has owed an answer on this node's own
+   *     links, {@link Long#MAX_VALUE} when it owes none
    */
-  public MemberKnowledge(LongSupplier clock, LongSupplier waitMillis, LongSupplier silentMillis) {
+  public MemberKnowledge(
+      LongSupplier clock, LongSupplier waitMillis, LongSupplier oldestUnansweredMillis) {
     this.clock = clock;
     this.waitMillis = waitMillis;
-    this.silentMillis = silentMillis;
+    this.oldestUnansweredMillis = oldestUnansweredMillis;
   }
 
   /** Creates knowledge of the member at the other end of links. */
   static MemberKnowledge of(Worker worker, MemberLinks owner, Set<MemberLink> links) {
-    LongSupplier silent =
-        () -> {
-          long oldest = MemberLink.oldestUnansweredMillis(links);
-          long heard = Math.max(oldest, owner.lastHeardMillis());
-          return oldest == Long.MAX_VALUE ? 0 : worker.now() - heard;
-        };
-    return new MemberKnowledge(worker::now, owner::estimatedWaitMillis, silent);
+    LongSupplier oldest = () -> MemberLink.oldestUnansweredMillis(links);
+    return new MemberKnowledge(worker::now, owner::estimatedWaitMillis, oldest);
   }
 
   /**
@@ -62,11 +68,22 @@
   }
 
   /**
-   * The member told its newest place.
+   * The member answered a statement.
    *
-   * @param place the place, or null when it told none
+   * @param place newest place that it told, or null when it told none
    */
   public void heard(TermPosition place) {
+    hungMillis = 0;
+    answeredMillis = clock.getAsLong();
+    standsAt(place);
+  }
+
+  /**
+   * The member told its newest place; it may still owe answers to statements.
+   *
+   * @param place the place, or null when it told none
+   */
+  public void standsAt(TermPosition place) {
     if (place != null) {
       lag.memberHas(place, clock.getAsLong());
     }
@@ -113,7 +130,24 @@
         lag.millis(),
         (int) Math.round(lag.growth() * SECOND_MILLIS),
         waitMillis.getAsLong(),
-        silentMillis.getAsLong());
+        ownSilentMillis());
+  }
+
+  /**
+   * How long the member has owed answers here. When the links that owe them are given up, it is
+   * taken to be silent for as long again, unless it answers: whatever is asked meanwhile would be
+   * lost, and nothing but an answer shows that it has changed.
+   */
+  private long ownSilentMillis() {
+    long now = clock.getAsLong();
+    long oldest = oldestUnansweredMillis.getAsLong();
+    long silent = oldest == Long.MAX_VALUE ? 0 : now - Math.max(oldest, answeredMillis);
+    if (silent > HUNG_MILLIS) {
+      hungMillis = silent;
+      hungAtMillis = now;
+      return silent;
+    }
+    return now - hungAtMillis < hungMillis ? hungMillis : silent;
   }
 
   /**
@@ -142,7 +176,7 @@
    */
   public long silentMillis() {
     boolean told = clock.getAsLong() - toldMillis <= WAIT_TRUSTED_MILLIS;
-    return Math.max(told ? toldSilentMillis : 0, silentMillis.getAsLong());
+    return Math.max(told ? toldSilentMillis : 0, ownSilentMillis());
   }
 
   /**
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -268,6 +268,13 @@
     return channel != null && channel.mayHaveRun();
   }
 
+  /** Tells that nobody waits for the answers any more; they still have to be heard. */
+  public void withdraw() {
+    if (isOpen()) {
+      channel.withdraw();
+    }
+  }
+
   /** Closes the link; commands without an answer are lost. */
   public void close() {
     close("closed by this node");
--- a/server/src/main/java/org/streamcourse/connection/member/ReplicaProbe.java
+++ b/server/src/main/java/org/streamcourse/connection/member/ReplicaProbe.java
@@ -86,7 +86,7 @@
 
   @Override
   public void answered(Answer answer) {
-    links.knowledge().heard(answer.position());
+    links.knowledge().standsAt(answer.position());
     links.releaseRolledBack(link);
   }
 
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -196,6 +196,13 @@
     }
   }
 
+  @Override
+  public void withdraw() {
+    if (sent && !ended && !answeredOnce) {
+      client.send(holder(), new RelayMessage.Withdraw(stream));
+    }
+  }
+
   /** Time at which the oldest step without an answer was sent, or {@link Long#MAX_VALUE}. */
   long unansweredSinceMillis() {
     return unanswered > 0 ? sentMillis : Long.MAX_VALUE;
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
@@ -109,6 +109,14 @@
    */
   record Close(long stream) implements RelayMessage {}
 
+  /**
+   * The sender no longer needs the answer. Work that waits for a connection is not begun and ends
+   * with {@link Ended}; what runs goes on, so that its connection is kept.
+   *
+   * @param stream number of the stream
+   */
+  record Withdraw(long stream) implements RelayMessage {}
+
   /**
    * The member's answers to the steps that came together, up to the first that failed.
    *
@@ -176,6 +184,7 @@
     return this instanceof Open
         || this instanceof Continue
         || this instanceof Close
+        || this instanceof Withdraw
         || this instanceof Ping;
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -117,6 +117,8 @@
       }
       // Also a sign of life: a sender that hears nothing takes the link for stuck.
       send(sender, new RelayMessage.Ended(close.stream(), "closed by its sender"));
+    } else if (message instanceof RelayMessage.Withdraw withdrawn) {
+      withdraw(find(sender, withdrawn.stream()));
     } else if (message instanceof RelayMessage.Ping) {
       send(sender, new RelayMessage.Pong());
     }
@@ -212,6 +214,12 @@
     }
   }
 
+  private void withdraw(RelayedWork work) {
+    if (work != null && !work.hasLink()) {
+      giveUp(work, "withdrawn by its sender");
+    }
+  }
+
   private void giveUp(RelayedWork work, String cause) {
     work.end();
     send(work.sender(), new RelayMessage.Ended(work.stream(), cause));
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayTypes.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayTypes.java
@@ -36,7 +36,8 @@
           RelayMessage.Pong.class,
           ReadFloor.class,
           MemberNews.class,
-          RelayMessage.News.class);
+          RelayMessage.News.class,
+          RelayMessage.Withdraw.class);
 
   private RelayTypes() {}
 }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -80,6 +80,10 @@
     return link == null || working ? 0 : server.now() - lastMillis;
   }
 
+  boolean hasLink() {
+    return link != null;
+  }
+
   // ---- the wish for a link ----
 
   @Override
--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -137,6 +137,7 @@
   void abandon() {
     if (awaitsAnswer()) {
       phase = Phase.ABANDONED;
+      held.get().withdraw();
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/MemberChoice.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
+import org.streamcourse.connection.member.MemberKnowledge;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.TenantId;
 
@@ -23,12 +24,6 @@
    */
   private static final double NEW_PAIR_MILLIS = 12;
 
-  /**
-   * Silence of a member that owes answers, after which it counts as hung; the same after which its
-   * holder looks whether it lives. It is expected to last as long again.
-   */
-  static final long HUNG_MILLIS = 250;
-
   private static final LongHashFunction HASH = LongHashFunction.xx();
 
   /**
@@ -50,15 +45,20 @@
       long queueMillis,
       long catchUpMillis,
       long silentMillis) {
-    /** Expected time to the answer, the price of the primary's room included. */
+    /**
+     * Expected time to the answer, the price of the primary's room included. A silence is expected
+     * to last as long again.
+     */
     double finishMillis() {
       double answered = Math.max(answerMillis * (1 + underWay), answerMillis + queueMillis);
       double priced = primary ? answered * PRIMARY_READ_COST : answered;
-      return priced + catchUpMillis + (silentMillis > HUNG_MILLIS ? silentMillis : 0);
+      return priced
+          + catchUpMillis
+          + (silentMillis > MemberKnowledge.HUNG_MILLIS ? silentMillis : 0);
     }
 
     boolean isHeldBack() {
-      return catchUpMillis > 0 || silentMillis > HUNG_MILLIS;
+      return catchUpMillis > 0 || silentMillis > MemberKnowledge.HUNG_MILLIS;
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/MemberWatch.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberWatch.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.streamcourse.connection.member.MemberKnowledge;
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.member.MemberNews;
 import org.streamcourse.connection.member.MemberRelay;
@@ -92,7 +93,7 @@
       String service, MemberLinks links, boolean behind, MemberRelay.NewsListener listener) {
     MemberId member = links.member().id();
     MemberNews news = links.knowledge().news();
-    boolean hung = news.silentMillis() > MemberChoice.HUNG_MILLIS;
+    boolean hung = news.silentMillis() > MemberKnowledge.HUNG_MILLIS;
     Told last = told.get(member);
     if (!behind && !hung && last == null) {
       return;
--- a/server/src/test/java/org/streamcourse/request/routing/MemberChoiceLoadTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/MemberChoiceLoadTest.java
@@ -184,7 +184,7 @@
       private final int number;
       private final Deque<Runnable> queue = new ArrayDeque<>();
       private final MemberKnowledge holder =
-          new MemberKnowledge(() -> now, this::waitMillis, () -> 0);
+          new MemberKnowledge(() -> now, this::waitMillis, () -> Long.MAX_VALUE);
       private int busy;
       private long shown;
       private long toldLag;
@@ -276,7 +276,7 @@
         region = number % MEMBERS;
         for (int i = 0; i < MEMBERS; i++) {
           times.add(new AnswerTimes(i == region ? 20 : 60));
-          known.add(new MemberKnowledge(() -> now, () -> 0, () -> 0));
+          known.add(new MemberKnowledge(() -> now, () -> 0, () -> Long.MAX_VALUE));
         }
       }
 
