Routing: a waiting request keeps its rank and its pool

Cause: the rank of a request was read from its attempt each time it was compared, and the attempt may go on to another member or plan while the request still waits. The queue is ordered by rank, so it could no longer find the request to remove it and granted it again and again: a StackOverflowError in ServiceScenarioTest (MEMBERS_REPLACED, PRIMARY_CUT_FROM_REPLICAS, synchronous LEADER_KILLED_DURING_CHANGE) and RelayScenarioTest (ORDERS_LATE). A link granted too late also went back to the pool of the member that was asked after it.

Change: rank and pool are fixed when the request is made.

--- a/server/src/main/java/org/streamcourse/request/routing/MemberWatch.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberWatch.java
@@ -77,7 +77,7 @@
 
   private boolean isBehind(MemberLinks links) {
     return links.isUsable()
-        && !members.isPrimary(links)
+        && !members.leadsToPrimary(links)
         && links.knowledge().lagMillis() >= WATCHED_MILLIS;
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
@@ -158,7 +158,7 @@
   }
 
   /** Whether links lead to the member that is agreed to be primary. */
-  boolean isPrimary(MemberLinks links) {
+  boolean leadsToPrimary(MemberLinks links) {
     return links.member().id().equals(primary);
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -36,10 +36,7 @@
 final class StatementAttempt {
   private static final long RETRY_AFTER_MILLIS = 100;
 
-  /**
-   * Added to the rank of a read at the primary that a replica could have served: writes, and reads
-   * that only the primary can serve, go before it.
-   */
+  /** Added to the rank of a read at the primary that a replica could serve: all else goes first. */
   private static final int DIVERTED_RANK = 1_000;
 
   private final Worker worker;
@@ -237,6 +234,11 @@
     private final ReadFloor floor;
     private final long sinceMillis = worker.now();
 
+    /** Pool that is asked, and rank there: the attempt may go on, and queues are ordered by it. */
+    private final MemberLinks pool = links;
+
+    private final int rank = rank();
+
     Wish(int ofTurn, ReadFloor floor) {
       this.ofTurn = ofTurn;
       this.floor = floor;
@@ -255,8 +257,12 @@
 
     @Override
     public int priority() {
-      boolean fromReplicas = diverted || (!plan.needsPrimary() && members.isPrimary(links));
-      return context.route().priority() + (fromReplicas ? DIVERTED_RANK : 0);
+      return rank;
+    }
+
+    private int rank() {
+      boolean spared = diverted || (!plan.needsPrimary() && members.leadsToPrimary(pool));
+      return context.route().priority() + (spared ? DIVERTED_RANK : 0);
     }
 
     @Override
@@ -266,7 +272,7 @@
 
     @Override
     public void learned(MemberNews news) {
-      links.knowledge().told(news);
+      pool.knowledge().told(news);
     }
 
     @Override
@@ -298,7 +304,7 @@
     @Override
     public void granted(MemberLink granted) {
       if (!isWaiting(ofTurn)) {
-        links.release(granted);
+        pool.release(granted);
         return;
       }
       log.observer().waitedForLink(times.waitedMillis(worker.now()));
