--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -44,6 +44,27 @@
         "streamcourse_refused_for_others",
         "Other nodes' statements that got no connection here.",
         log::refusedForOthers);
+    tellOfLinks(endpoint, node);
+    tellOfLimits(endpoint, node);
+    endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
+    for (AnswerCode code : AnswerCode.values()) {
+      String outcome = code.name().toLowerCase(Locale.ROOT);
+      endpoint.gauge(
+          "streamcourse_answers_" + outcome, "Statements answered so.", () -> log.count(code));
+      answered.put(
+          code,
+          endpoint.histogram(
+              "streamcourse_statement", "From a statement to its answer.", OUTCOME, outcome));
+    }
+    waited =
+        endpoint.histogram(
+            "streamcourse_link_wait", "From a statement to a link to a member.", OUTCOME, "got");
+    member =
+        endpoint.histogram(
+            "streamcourse_member", "From sending to a member's answer.", OUTCOME, "answered");
+  }
+
+  private static void tellOfLinks(MetricsEndpoint endpoint, StatementProxyNode node) {
     endpoint.gauge(
         "streamcourse_slots_taken",
         "Commands under way at members over this node's links.",
@@ -56,6 +77,9 @@
         "streamcourse_links_handed_over",
         "Idle links that ended for another tenant.",
         () -> node.sumOverMembers(MemberLinks::handedOver));
+  }
+
+  private static void tellOfLimits(MetricsEndpoint endpoint, StatementProxyNode node) {
     endpoint.gauge(
         "streamcourse_quota_admitted",
         "Operations of limited tenants that were admitted.",
@@ -80,22 +104,6 @@
                 "From an operation to its place within the tenant's limit.",
                 OUTCOME,
                 "admitted"));
-    endpoint.gauge("streamcourse_log_lines_lost", "Lines lost to a full queue.", LogQueue::lost);
-    for (AnswerCode code : AnswerCode.values()) {
-      String outcome = code.name().toLowerCase(Locale.ROOT);
-      endpoint.gauge(
-          "streamcourse_answers_" + outcome, "Statements answered so.", () -> log.count(code));
-      answered.put(
-          code,
-          endpoint.histogram(
-              "streamcourse_statement", "From a statement to its answer.", OUTCOME, outcome));
-    }
-    waited =
-        endpoint.histogram(
-            "streamcourse_link_wait", "From a statement to a link to a member.", OUTCOME, "got");
-    member =
-        endpoint.histogram(
-            "streamcourse_member", "From sending to a member's answer.", OUTCOME, "answered");
   }
 
   @Override
