Proxies and controllers before groups replace links that stay silent

The processes before services have replaced such links since long.

Change: both open another link after 4 s without a word of a peer that was written to, 0.5 s longer than an edge waits for a gateway with open streams, so that no stream is lost to it.

--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -55,7 +55,12 @@
     MessageCodec codec = StreamTypes.codec();
     network =
         new TcpPeerNetwork(
-            settings.name(), codec, new FleetKey(settings.fleetKey()), loops, this::addressOf);
+            settings.name(),
+            codec,
+            new FleetKey(settings.fleetKey()),
+            loops,
+            this::addressOf,
+            ProxyProcess.LINK_SILENCE);
     disk = new FolderDisk(Path.of(settings.dataFolder()));
     node =
         new ControllerNode(
--- a/server/src/main/java/org/streamcourse/process/ProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyProcess.java
@@ -43,6 +43,14 @@
   private static final Duration LOOPS_STOP = Duration.ofSeconds(2);
   private static final int IO_THREADS = 4;
 
+  /**
+   * Silence of a peer that was written to, after which a link to it counts as stuck and another one
+   * is opened. Longer than the silence of a gateway after which its streams are given up (3,500
+   * ms), so no stream is lost to it; nodes with open streams hear each other every 1,000 ms.
+   */
+  static final Duration LINK_SILENCE =
+      Duration.ofMillis(EdgeSettings.DEFAULT.gatewaySilenceMillis() + 500);
+
   private final ProxySettings settings;
   private final WorkerPool workers;
   private final LoopResources loops;
@@ -66,7 +74,7 @@
     loops = LoopResources.create("io", IO_THREADS, false);
     MessageCodec codec = StreamTypes.codec();
     FleetKey key = new FleetKey(settings.fleetKey());
-    network = new TcpPeerNetwork(settings.name(), codec, key, loops, this::addressOf);
+    network = new TcpPeerNetwork(settings.name(), codec, key, loops, this::addressOf, LINK_SILENCE);
     NodeImage self =
         new NodeImage(
             settings.name(),
