--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -301,7 +301,7 @@
    *
    * @return false when the member may have been asked something, so that the link can't go on
    */
-  public boolean withdraw() {
+  public boolean takeBack() {
     if (waiting.isEmpty() || !outstanding.isEmpty()) {
       return false;
     }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -254,7 +254,7 @@
     if (link == null) {
       return;
     }
-    if (working && !link.withdraw()) {
+    if (working && !link.takeBack()) {
       link.close();
       links.release(link);
     } else {
--- a/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
+++ b/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
@@ -244,7 +244,7 @@
     start("s0", "b");
     start("s1", "c");
     transaction.run("inside");
-    assertTrue(transaction.link.withdraw());
+    assertTrue(transaction.link.takeBack());
     answerOldest();
     answerOldest();
     assertEquals(order, List.of("s0", "s1"));
