Logs: a stop ends the delay also when the writer has not begun

A stop interrupts the writer; one that has not taken its first line yet uses the interrupt up in taking it, then waits the whole delay, and what was logged is lost. Found by reading the queue's writer after the failure; it stood before this work.

Ruled out: load alone; the writer needs microseconds, and the test took just the 500 ms.

Change: the delay is a latch that the queue's stop opens first. LogQueueTest has the case where the delay is ended before it begins; with the interrupt alone it can't end (not run: it would wait for its time-out).

--- a/server/src/main/java/org/streamcourse/process/logging/LateAppender.java
+++ b/server/src/main/java/org/streamcourse/process/logging/LateAppender.java
@@ -3,6 +3,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.AppenderBase;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -14,6 +15,7 @@
 final class LateAppender extends AppenderBase<ILoggingEvent> {
   private final long delayMillis;
   private final Supplier<Appender<ILoggingEvent>> creation;
+  private final CountDownLatch delayEnded = new CountDownLatch(1);
   private Appender<ILoggingEvent> created;
 
   LateAppender(long delayMillis, Supplier<Appender<ILoggingEvent>> creation) {
@@ -30,9 +32,17 @@
     created.doAppend(line);
   }
 
+  /**
+   * Ends the delay, now or before it begins. The interrupt with which a queue stops does not do it
+   * for certain: a writer that has not taken its first line yet uses the interrupt up.
+   */
+  void endDelay() {
+    delayEnded.countDown();
+  }
+
   private void waitOnce() {
     try {
-      TimeUnit.MILLISECONDS.sleep(delayMillis);
+      delayEnded.await(delayMillis, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       // The queue stops: what is in it is written at once.
       Thread.currentThread().interrupt();
--- a/server/src/main/java/org/streamcourse/process/logging/LogQueue.java
+++ b/server/src/main/java/org/streamcourse/process/logging/LogQueue.java
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -30,6 +31,18 @@
     }
   }
 
+  @Override
+  public void stop() {
+    iteratorForAppenders().forEachRemaining(LogQueue::endDelay);
+    super.stop();
+  }
+
+  private static void endDelay(Appender<ILoggingEvent> appender) {
+    if (appender instanceof LateAppender late) {
+      late.endDelay();
+    }
+  }
+
   /**
    * Counts the lines that this process has lost since a queue was full.
    *
--- a/server/src/test/java/org/streamcourse/process/logging/LogQueueTest.java
+++ b/server/src/test/java/org/streamcourse/process/logging/LogQueueTest.java
@@ -86,4 +86,23 @@
     queue.stop();
     assertEquals(target.written.size(), 10);
   }
+
+  /** The writer has used the interrupt up before its first line, as when it is slow to begin. */
+  @Test(timeOut = LONG_DELAY_MILLIS / 10)
+  public void aDelayThatHasEndedBeforeItBeginsIsNotWaitedFor() {
+    LoggerContext context = context();
+    Slow target = new Slow();
+    target.letGo.countDown();
+    target.setContext(context);
+    target.start();
+    LateAppender late = new LateAppender(LONG_DELAY_MILLIS, () -> target);
+    LogQueue queue = new LogQueue();
+    queue.setContext(context);
+    late.setContext(context);
+    late.start();
+    queue.addAppender(late);
+    queue.stop();
+    late.doAppend(line(context, 0));
+    assertEquals(target.written.size(), 1);
+  }
 }
