--- a/server/src/main/java/org/streamcourse/connection/member/LinkOpenings.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkOpenings.java
@@ -97,7 +97,7 @@
 
   /** A connection that has not come about at all shows that nobody is there. */
   private void timedOut(MemberLink link) {
-    if (opening.containsKey(link) && link.oldestUnansweredMillis() == Long.MAX_VALUE) {
+    if (opening.containsKey(link) && !link.isConnected()) {
       link.close();
     }
   }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -110,6 +110,11 @@
     return open && !ended;
   }
 
+  /** Whether the connection has come about; it may wait for a slot before it is open. */
+  boolean isConnected() {
+    return channel != null;
+  }
+
   /**
    * Tells whether the member is reached through another node; such a link serves one statement or
    * transaction.
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -303,9 +303,14 @@
     serveHere(request);
   }
 
-  /** A standby that serves anybody does so in place of the owner. */
+  /**
+   * A standby that serves anybody does so in place of the owner. A question of its own for the
+   * member's place is no such service: the owner may be well.
+   */
   private void serveHere(LinkRequest request) {
-    if (allowance.asksOwnerFirst() && allowance.standIn(worker.now())) {
+    if (!request.takesAnyTenant()
+        && allowance.asksOwnerFirst()
+        && allowance.standIn(worker.now())) {
       LOG.info("stands in for the owner of {}/{}", service, member.id());
     }
     dispatcher.serveOrWait(request);
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -352,7 +353,20 @@
       // Length and content in one buffer, so that one call of the system writes both.
       ByteBuf frame = Unpooled.buffer(LENGTH_BYTES + bytes.length);
       frame.writeInt(bytes.length).writeBytes(bytes);
-      channel.writeAndFlush(frame, channel.voidPromise());
+      writeInOrder(channel, frame);
+    }
+
+    /**
+     * Frames of a compressed stream must leave in the order in which they were packed. A write from
+     * the link's own thread would overtake those of others that wait for it, so all wait there.
+     */
+    private void writeInOrder(Channel target, ByteBuf frame) {
+      try {
+        target.eventLoop().execute(() -> target.writeAndFlush(frame, target.voidPromise()));
+      } catch (RejectedExecutionException e) {
+        frame.release();
+        LOG.debug("link to {} is not written to, since the process ends", peer);
+      }
     }
 
     private void dial() {
--- a/server/src/main/java/org/streamcourse/request/quota/HomeServer.java
+++ b/server/src/main/java/org/streamcourse/request/quota/HomeServer.java
@@ -116,8 +116,9 @@
 
   private void ask(Asked asked) {
     TenantRule rule = image.get().document().tenant(asked.tenant).orElse(null);
-    if (rule == null) {
-      // This node's document is another one than the sender's; the next home may have that.
+    if (rule == null || !rule.isLimited()) {
+      // This node's document is another one than the sender's, and admits without counting; the
+      // next home may have the sender's.
       asked.refused(
           new QuotaRefusal(asked.tenant, QuotaRefusal.Reason.NOT_CONFIRMED, "", 0, 0, WAIT_MILLIS));
       return;
--- a/server/src/main/java/org/streamcourse/request/routing/ReadSearch.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ReadSearch.java
@@ -68,7 +68,7 @@
       return null;
     }
     boolean tooLate = choice.chosen().catchUpMillis() > mostMillis;
-    if (tooLate && members.primary() != null) {
+    if (tooLate && mayAskPrimary(members)) {
       return null;
     }
     tellLeftOut(members, candidates, choice.chosen());
@@ -78,6 +78,11 @@
     return new Target(links, members.floorAt(choice, floor, mostMillis), hold);
   }
 
+  private boolean mayAskPrimary(ServiceMembers members) {
+    MemberLinks primary = members.primary();
+    return primary != null && !leftOut.contains(primary.member().id());
+  }
+
   private void tellLeftOut(
       ServiceMembers members,
       List<MemberChoice.Candidate> candidates,
--- a/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
@@ -162,6 +162,12 @@
     return links.member().id().equals(primary);
   }
 
+  /** Whether a replica takes reads, now or once it has caught up. */
+  boolean hasUsableReplica() {
+    return members.values().stream()
+        .anyMatch(links -> links.isUsable() && !links.member().id().equals(primary));
+  }
+
   /** A member said that it is not primary, though it was believed to be. */
   void notPrimary(MemberId id) {
     if (id.equals(primary)) {
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -261,7 +261,8 @@
     }
 
     private int rank() {
-      boolean spared = diverted || (!plan.needsPrimary() && members.leadsToPrimary(pool));
+      boolean atPrimary = diverted || (!plan.needsPrimary() && members.leadsToPrimary(pool));
+      boolean spared = atPrimary && members.hasUsableReplica();
       return context.route().priority() + (spared ? DIVERTED_RANK : 0);
     }
 
