--- a/server/src/main/java/org/streamcourse/connection/frontend/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/connection/frontend/RequestLog.java
@@ -2,7 +2,6 @@
 
 import static net.logstash.logback.argument.StructuredArguments.keyValue;
 
-import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.process.LineBudget;
@@ -20,7 +19,6 @@
  */
 final class RequestLog {
   private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
-  private static final AtomicLong SESSIONS = new AtomicLong();
   private static final int BASE = 36;
 
   private final String session;
@@ -28,13 +26,8 @@
   private final LineBudget budget;
   private long request;
 
-  RequestLog(NodeImage node, String database, LineBudget budget) {
-    this.session =
-        node.name()
-            + '-'
-            + Long.toString(node.incarnation(), BASE)
-            + '-'
-            + SESSIONS.incrementAndGet();
+  RequestLog(NodeImage node, long number, String database, LineBudget budget) {
+    this.session = node.name() + '-' + Long.toString(node.incarnation(), BASE) + '-' + number;
     this.database = database;
     this.budget = budget;
   }
--- a/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
+++ b/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
@@ -44,6 +44,7 @@
   private final ReadRouter router;
 
   private final LineBudget failuresTold;
+  private final AtomicLong sessions = new AtomicLong();
   private final RetryBudget retryBudget = new RetryBudget();
   private final WaitingRequests waiting = new WaitingRequests();
   private final StatementClassifier classifier = new StatementClassifier();
@@ -113,6 +114,16 @@
     return failuresTold;
   }
 
+  /**
+   * Numbers a session. The number is part of ids that callers are told, so it counts for this node
+   * alone: what a node answers must not depend on others in the same process.
+   *
+   * @return number that no other session of this run of the node has
+   */
+  public long nextSession() {
+    return sessions.incrementAndGet();
+  }
+
   /**
    * Returns the image in force.
    *
