--- a/server/src/test/java/org/streamcourse/version/control/QuotaWorldTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/QuotaWorldTest.java
@@ -44,6 +44,16 @@
     }
   }
 
+  /** Each world by itself, at the size of a fleet. */
+  @Test
+  public void noLimitIsBrokenWithSharesForAllNodes() {
+    for (long seed = 1; seed <= 12; seed++) {
+      QuotaFigures figures = run(QuotaWay.SHARES, QuotaFaults.MANY, seed, 1, NODES, TENANTS);
+      assertEquals(figures.brokenWindows, 0, "seed " + seed + ", use " + figures.highestUse);
+      assertTrue(figures.highestUse > 0.8, "seed " + seed + ": near its limit");
+    }
+  }
+
   @Test
   public void littleIsRefusedBelowALimitOnACalmDay() {
     long seeds = 2;
@@ -56,9 +66,9 @@
 
   @Test
   public void littleIsRefusedBelowALimitWithSharesForAllNodes() {
-    double shares = refusedBelowLimit(run(QuotaWay.SHARES, QuotaFaults.NONE, 1, 1, NODES, TENANTS));
+    double shares = refusedBelowLimit(run(QuotaWay.SHARES, QuotaFaults.NONE, 1, 4, NODES, TENANTS));
     double equal =
-        refusedBelowLimit(run(QuotaWay.EQUAL_PARTS, QuotaFaults.NONE, 1, 1, NODES, TENANTS));
+        refusedBelowLimit(run(QuotaWay.EQUAL_PARTS, QuotaFaults.NONE, 1, 4, NODES, TENANTS));
     assertTrue(shares < 100, shares + " of 10,000 refused below the limit");
     assertTrue(shares < equal / 5, "equal parts refuse " + equal);
   }
