Controllers: a change of voters goes out with all that its receivers lack

The promotion of the repaired controller arrived at both others while the command before it was still on its way; both denied it, and the leader, who had to send it again, was lost with its disk. The voters in force were the lost leader and one other: no majority for good.

Ruled out: a lost entry that was acknowledged, a vote that was refused wrongly, the start of the lost controllers.

A change of voters goes out with all that its receivers have not acknowledged. Changes of voters are few.

VoterChangeInFlightTest fails on the code before (no leader after the loss).

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -429,8 +429,16 @@
     }
   }
 
+  /**
+   * Changes the voters. While a lost one is being replaced there is one voter fewer, and the loss of
+   * another that holds the only copy of the change would leave no majority for good. So a change
+   * goes out with all that its receivers have not acknowledged: each of them can take it in though
+   * an earlier message was lost or comes later, and needs no second one from a leader that may be
+   * gone. Changes of voters are few, so these bytes do not count.
+   */
   private void proposeVoters(VoterSet next) {
     LOG.info("changes voters to {} with learners {}", next.voters(), next.learners());
+    ((LeaderState) role).sendUnacknowledgedAgain();
     appendOwn(LogEntry.Kind.VOTERS, List.of(VoterSetCodec.encode(next)));
   }
 
--- a/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
@@ -36,6 +36,13 @@
       this.lastHeardMillis = now;
     }
 
+    /** What comes next goes out with all that the controller has not acknowledged. */
+    void sendUnacknowledgedAgain() {
+      if (matchIndex > 0) {
+        nextIndex = matchIndex + 1;
+      }
+    }
+
     /** The controller has synced all entries up to one. */
     void matched(long index) {
       matchIndex = Math.max(matchIndex, index);
@@ -108,6 +115,11 @@
     return progress.containsKey(identity);
   }
 
+  /** What comes next goes to every controller with all that it has not acknowledged. */
+  void sendUnacknowledgedAgain() {
+    progress.values().forEach(Progress::sendUnacknowledgedAgain);
+  }
+
   void requestJoin(String identity) {
     joining.add(identity);
   }
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/version/agreement/VoterChangeInFlightTest.java
@@ -0,0 +1,158 @@
+package org.streamcourse.version.agreement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.streamcourse.process.MemoryDisk;
+import org.streamcourse.process.SchedulerWorker;
+import org.streamcourse.version.agreement.AgreementMessage.AppendRequest;
+import org.streamcourse.version.agreement.AgreementMessage.JoinRequest;
+import org.testng.annotations.Test;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/**
+ * A controller lost its disk and is about to vote again: its promotion stands in the leader's log
+ * and is on its way to both others. Then the leader is lost with its disk. The promotion must count
+ * where it arrives: without it the voters in force are the lost leader and one other, who has no
+ * majority for good, and nothing is served any more.
+ *
+ * <p>Each entry was sent once, in a message that follows the one before, so a controller that lacked
+ * the command before the promotion denied the promotion too, and its denial reached nobody. Seen in
+ * the simulator: {@code changes voters to [c1, c3, c2']}, entry 27, at 9,497 ms; at c2' and at c3 it
+ * arrived after 26 entries of which each still lacked the last, and 50 ms later both had that one;
+ * c1 was gone, and both asked for votes with the voters {@code [c1, c3]} until the end.
+ */
+public class VoterChangeInFlightTest {
+  private static final List<String> VOTERS = List.of("a@1", "b@1", "c@1");
+  private static final long WAY_MILLIS = 20;
+
+  /** Time until a message that was sent has been answered, with some to spare. */
+  private static final long ANSWERED_MILLIS = 3 * WAY_MILLIS;
+
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  private final VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+  private final Map<String, AgreementNode> nodes = new TreeMap<>();
+  private final Map<String, RecordLog> logs = new HashMap<>();
+  private final Set<String> gone = new HashSet<>();
+  private boolean losesCommands;
+  private boolean promotionSent;
+
+  private static final class Nothing implements StateMachine {
+    @Override
+    public void apply(long index, byte[] command) {}
+
+    @Override
+    public byte[] snapshot() {
+      return new byte[0];
+    }
+
+    @Override
+    public void restore(byte[] state) {}
+
+    @Override
+    public void leadershipStarted(long term) {}
+
+    @Override
+    public void leadershipEnded() {}
+  }
+
+  private void startNode(String identity, RecordLog log) {
+    AgreementNode node =
+        new AgreementNode(
+            SchedulerWorker.onSchedulerClock(clock),
+            (to, message) -> send(identity, to, message),
+            log,
+            new Nothing(),
+            AgreementSettings.DEFAULT,
+            new Random(identity.hashCode()));
+    nodes.put(identity, node);
+    logs.put(identity, log);
+    node.start();
+  }
+
+  private void send(String from, String to, AgreementMessage message) {
+    if (gone.contains(from) || gone.contains(to)) {
+      return;
+    }
+    boolean loses = losesCommands;
+    if (message instanceof AppendRequest request) {
+      boolean promotes = request.entries().stream().anyMatch(this::promotes);
+      promotionSent |= promotes;
+      loses &= !promotes && !request.entries().isEmpty();
+    }
+    if (!loses) {
+      clock.schedule(() -> arrive(to, message), WAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private boolean promotes(LogEntry entry) {
+    return entry.kind() == LogEntry.Kind.VOTERS
+        && VoterSetCodec.decode(entry.payload()).voters().stream()
+            .anyMatch(each -> each.endsWith("@2"));
+  }
+
+  private void arrive(String to, AgreementMessage message) {
+    if (!gone.contains(to)) {
+      nodes.get(to).receive(message);
+    }
+  }
+
+  private void pass(long millis) {
+    clock.advanceTimeBy(Duration.ofMillis(millis));
+  }
+
+  private List<AgreementNode> leaders() {
+    return nodes.values().stream()
+        .filter(each -> !gone.contains(each.identity()) && each.isLeader())
+        .toList();
+  }
+
+  @Test
+  public void aPromotionCountsThoughTheMessageBeforeItWasLost() {
+    for (String identity : VOTERS) {
+      RecordLog log = RecordLog.open(new MemoryDisk(), VoterSetCodec.codec());
+      log.bootstrap(identity, VOTERS, new byte[0]);
+      startNode(identity, log);
+    }
+    pass(5_000);
+    AgreementNode leader = leaders().get(0);
+    String lost =
+        VOTERS.stream().filter(each -> !each.equals(leader.identity())).findFirst().orElseThrow();
+    gone.add(lost);
+    String returned = lost.replace("@1", "@2");
+    RecordLog empty = RecordLog.open(new MemoryDisk(), VoterSetCodec.codec());
+    empty.saveQuorumState(new QuorumState(returned, 0, ""));
+    startNode(returned, empty);
+    leader.receive(new JoinRequest(returned, 0));
+    while (leader.voters().voters().size() == VOTERS.size()) {
+      pass(1);
+    }
+    pass(ANSWERED_MILLIS);
+    assertEquals(leader.voters().learners(), List.of(returned), "not yet a voter");
+
+    losesCommands = true;
+    byte[] command = "lost on its way".getBytes(StandardCharsets.UTF_8);
+    clock.schedule(() -> leader.propose(command), 1, TimeUnit.MILLISECONDS);
+    while (!promotionSent) {
+      pass(1);
+    }
+    gone.add(leader.identity());
+    losesCommands = false;
+    clock.advanceTimeBy(PATIENCE);
+
+    assertEquals(leaders().size(), 1, "leaders after the loss");
+    AgreementNode next = leaders().get(0);
+    assertTrue(next.voters().voters().contains(returned), next.voters().toString());
+  }
+}
