Controllers: the voter set is read once until it changes

RecordLog.voters() looked through all entries back to the last change of voters (up to 256) and decoded the set anew at each question; a leader asks some six times for each message of another controller.

RecordLogTest.readsTheVoterSetOnceUntilItChanges fails before (another object at each question). Processor time: not measured apart.

--- a/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
@@ -35,6 +35,14 @@
   private final NavigableMap<Long, String> segments = new TreeMap<>();
   private QuorumState quorumState;
   private Snapshot snapshot;
+
+  /**
+   * The newest voter set, or null while it has to be looked for. It is asked for several times with
+   * each message among controllers, and is up to {@link AgreementSettings#snapshotEvery} entries
+   * back.
+   */
+  private VoterSet newestVoters;
+
   private boolean replacedBySnapshot;
   private long knownCommit;
   private long storedCommit;
@@ -175,6 +183,9 @@
     disk.appendAndSync(segment, frame(added));
     for (LogEntry entry : added) {
       entries.put(entry.index(), entry);
+      if (entry.kind() == LogEntry.Kind.VOTERS) {
+        newestVoters = null;
+      }
     }
   }
 
@@ -256,7 +267,10 @@
    * @return voters and learners; nobody in an empty log
    */
   public VoterSet voters() {
-    return votersAt(lastIndex());
+    if (newestVoters == null) {
+      newestVoters = votersAt(lastIndex());
+    }
+    return newestVoters;
   }
 
   /**
@@ -280,6 +294,7 @@
    * @param fromIndex first index to drop
    */
   public void truncateFrom(long fromIndex) {
+    newestVoters = null;
     for (long first : List.copyOf(segments.tailMap(fromIndex, true).keySet())) {
       disk.delete(segments.remove(first));
     }
@@ -298,6 +313,7 @@
   public void saveSnapshot(Snapshot taken, boolean keepTail) {
     disk.replace(SNAPSHOT_FILE, Frames.write(codec.encode(taken)));
     snapshot = taken;
+    newestVoters = null;
     if (!keepTail) {
       truncateFrom(0);
       return;
--- a/server/src/test/java/org/streamcourse/version/agreement/RecordLogTest.java
+++ b/server/src/test/java/org/streamcourse/version/agreement/RecordLogTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.expectThrows;
 
 import java.util.Arrays;
@@ -47,6 +48,27 @@
     assertEquals(new String(log.entry(5).payload()), "entry 5");
   }
 
+  /**
+   * With 20 entries since the last change of voters, each question decoded the set anew and looked
+   * through all of them; a leader asks some six times for each message of another controller.
+   */
+  @Test
+  public void readsTheVoterSetOnceUntilItChanges() {
+    RecordLog log = RecordLog.open(disk, codec);
+    VoterSet first = log.voters();
+    log.append(List.of(entry(log.lastIndex() + 1, 1)));
+    assertSame(log.voters(), first);
+    VoterSet next = first.withLearner("c2@b");
+    long index = log.lastIndex() + 1;
+    log.append(List.of(new LogEntry(index, 1, LogEntry.Kind.VOTERS, VoterSetCodec.encode(next))));
+    assertEquals(log.voters(), next);
+    assertSame(log.voters(), log.voters());
+    log.truncateFrom(index);
+    assertEquals(log.voters(), first);
+    log.saveSnapshot(new Snapshot(index, 1, next, new byte[0]), false);
+    assertEquals(log.voters(), next);
+  }
+
   @Test
   public void cutsATornTailAtEveryByte() {
     byte[] whole = disk.read(lastSegment());
