--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceGroup.java
@@ -15,6 +15,10 @@
 /** The members of the simulated service as one: replication, and the agent that promotes. */
 final class SimServiceGroup {
   private static final long AGENT_MILLIS = 3;
+
+  /** Time until a replica that may receive again has what it lacks; a way there and back. */
+  private static final long STREAM_MILLIS = 60;
+
   private static final long PROMOTE_MILLIS = 600;
   private static final long LATE_ORDER_MILLIS = 3_000;
   private static final long PROBE_MILLIS = 800;
@@ -189,9 +193,35 @@
       member.loseLead();
     } else {
       member.follow(leader);
+      streamTo(member, leader);
     }
   }
 
+  /**
+   * A replica that may receive again gets what it lacks, also while nothing is committed: a real
+   * one keeps asking its primary for the log.
+   */
+  void streamTo(SimServiceMember member) {
+    primary().filter(leader -> leader != member).ifPresent(leader -> streamTo(member, leader));
+  }
+
+  private void streamTo(SimServiceMember member, SimServiceMember leader) {
+    int run = member.host().run();
+    Runnable arrival = () -> member.receive(leader, leader.received().size());
+    world.after(
+        STREAM_MILLIS,
+        () -> {
+          boolean lacks = member.received().size() < leader.received().size();
+          if (lacks && leader.isPrimary() && !isCut(leader, member)) {
+            member.host().execute(run, arrival);
+          }
+        });
+  }
+
+  private boolean isCut(SimServiceMember one, SimServiceMember other) {
+    return world.network().isCut(one.host().name(), other.host().name());
+  }
+
   void replicate(SimServiceMember from, int length) {
     for (SimServiceMember other : world.members().values()) {
       if (other != from && other.host().isUp()) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
@@ -189,6 +189,7 @@
 
   void resume() {
     paused = false;
+    world.group().streamTo(this);
   }
 
   /** Another member leads a newer term: what it does not have is dropped. */
