--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -1,6 +1,5 @@
 package org.streamcourse.version.agreement;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -44,7 +43,7 @@
   private final AgreementSettings settings;
   private final AppliedState applied;
   private final EntrySender sender;
-  private final List<byte[]> proposed = new ArrayList<>();
+  private final ProposalBatch proposals;
   private RoleState role = new FollowerState();
   private long lastLeaderContact;
   private final ElectionTimer electionTimer;
@@ -77,6 +76,7 @@
     this.electionTimer = new ElectionTimer(worker, settings, random, this::onElectionTimeout);
     this.applied = new AppliedState(log, machine, settings.snapshotEvery());
     this.soonRound = new SoonRound(worker, this::startRoundSoon);
+    this.proposals = new ProposalBatch(worker, this::appendProposed);
     this.sender = new EntrySender(log, network, settings.entriesPerAppend());
   }
 
@@ -172,15 +172,10 @@
       throw new StreamcourseException(
           ErrorCode.NODE_NOT_SERVING, "propose", leader().orElse(""), "not the leader");
     }
-    if (proposed.isEmpty()) {
-      worker.execute(this::appendProposed);
-    }
-    proposed.add(command);
+    proposals.add(command);
   }
 
-  private void appendProposed() {
-    List<byte[]> commands = List.copyOf(proposed);
-    proposed.clear();
+  private void appendProposed(List<byte[]> commands) {
     if (isLeader() && !stopped) {
       appendOwn(LogEntry.Kind.COMMAND, commands);
     }
@@ -327,10 +322,7 @@
     electionTimer.leaderHeard();
     LeaderState leader = new LeaderState(log.lastIndex() + 1);
     role = leader;
-    // Before the first entry is appended, so that it is among what the others were not sent yet.
-    for (String voter : votersInForce().all()) {
-      leader.progressOf(voter, log.lastIndex(), worker.now());
-    }
+    leader.follow(votersInForce().all(), worker.now());
     appendOwn(LogEntry.Kind.NO_OP, List.of(new byte[0]));
     heartbeatTimer = worker.repeat(settings.heartbeatMillis(), this::onHeartbeat);
   }
@@ -442,11 +434,10 @@
   }
 
   /**
-   * Changes the voters. While a lost one is being replaced there is one voter fewer, and the loss
-   * of another that holds the only copy of the change would leave no majority for good. So a change
-   * goes out with all that its receivers have not acknowledged: each of them can take it in though
-   * an earlier message was lost or comes later, and needs no second one from a leader that may be
-   * gone. Changes of voters are few, so these bytes do not count.
+   * Changes the voters. Between the steps of a replacement there is one voter fewer, and the loss
+   * of a leader that alone has the next step would leave no majority for good. So a change goes out
+   * with all that its receivers have not acknowledged: each can take it in by itself, and needs
+   * nothing more from the leader. Such changes are few.
    */
   private void proposeVoters(VoterSet next) {
     LOG.info("changes voters to {} with learners {}", next.voters(), next.learners());
--- a/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
@@ -106,6 +106,11 @@
     return announced;
   }
 
+  /** Begins to follow others, to whom nothing of this leader's term was sent yet. */
+  void follow(List<String> identities, long now) {
+    identities.forEach(each -> progress.put(each, new Progress(termStartIndex, now)));
+  }
+
   Progress progressOf(String identity, long lastIndex, long now) {
     return progress.computeIfAbsent(identity, any -> new Progress(lastIndex + 1, now));
   }
