--- a/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkRequest.java
@@ -97,12 +97,13 @@
   }
 
   /**
-   * A node that holds connections gave none, and the next one is asked.
+   * Returns who hears how nodes fail that hold connections.
    *
-   * @param holder name of the node
-   * @param cause why
+   * @return listener of this request
    */
-  default void asksAnotherHolder(String holder, String cause) {}
+  default HolderListener holderListener() {
+    return HolderListener.NONE;
+  }
 
   /**
    * Hands a link out; it must be given back with {@link MemberLinks#release}, also when it ended.
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -61,6 +61,8 @@
   private final Set<String> greeted = ConcurrentHashMap.newKeySet();
   private final Map<String, Place> places = new ConcurrentHashMap<>();
   private final LinkTraffic traffic = new LinkTraffic();
+  private final LinkLog log = new LinkLog();
+  private final AtomicLong linkNumbers = new AtomicLong();
   private volatile Place place;
   private volatile boolean stopped;
   private final AtomicLong sentBytes = new AtomicLong();
@@ -275,6 +277,7 @@
     public void channelInactive(ChannelHandlerContext context) throws Exception {
       reader.close();
       if (peer != null) {
+        log.endedByPeer(peer);
         handler.linkLost(peer);
       }
       super.channelInactive(context);
@@ -297,6 +300,9 @@
     private Channel channel;
     private boolean dialing;
     private long lastDialNanos;
+    private long number;
+    private long openedNanos;
+    private long written;
     private long unansweredSinceNanos;
 
     Link(String peer) {
@@ -330,7 +336,7 @@
       if (channel != null) {
         // Told before anything that follows from the next dial: what went into the broken link may
         // have been delivered. lost() does not tell it again.
-        channel = null;
+        ended();
         handler.linkLost(peer);
       }
       if (waiting.size() < MAX_WAITING) {
@@ -346,6 +352,7 @@
         channel.close();
         return;
       }
+      written++;
       PeerDistance distance = distanceTo(peer);
       byte[] bytes = packer.pack(message.bytes(), distance == PeerDistance.OTHER_REGION);
       sentBytes.addAndGet(LENGTH_BYTES + bytes.length);
@@ -377,7 +384,7 @@
       PeerAddress address = addresses.apply(peer);
       boolean tooSoon = sinceLast < Duration.ofMillis(REDIAL_MILLIS).toNanos();
       if (address == null || (lastDialNanos != 0 && tooSoon)) {
-        drop();
+        drop(address == null ? "its address is not known" : "the last dial was just now");
         return;
       }
       dialing = true;
@@ -403,6 +410,9 @@
       Channel opened = connection.channel();
       channel = opened;
       dialing = false;
+      number = linkNumbers.incrementAndGet();
+      openedNanos = System.nanoTime();
+      written = 0;
       LinkHello hello = new LinkHello(LinkMessage.PROTOCOL_VERSION, self, key.sign(self), place);
       packer.close();
       packer = new FramePacker();
@@ -414,12 +424,12 @@
     }
 
     private synchronized void failed(Throwable cause) {
-      LOG.debug("no link to {}: {}", peer, cause.toString());
       dialing = false;
-      drop();
+      drop(cause.toString());
     }
 
-    private void drop() {
+    private void drop(String cause) {
+      log.dropped(peer, waiting.size(), cause);
       waiting.clear();
       if (handler != null) {
         handler.unreachable(peer);
@@ -437,11 +447,16 @@
       if (channel != ended) {
         return false;
       }
-      channel = null;
+      ended();
       packer.close();
       return true;
     }
 
+    private void ended() {
+      channel = null;
+      log.ended(peer, number, written, openedNanos);
+    }
+
     synchronized void closeOlderThan(Duration age) {
       if (System.nanoTime() - lastDialNanos > age.toNanos()) {
         close();
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayChannel.java
@@ -268,10 +268,12 @@
   }
 
   private boolean asksNext(String cause) {
-    if (answeredOnce || holderIndex + 1 >= holders.size() || remainingWaitMillis() <= 0) {
+    boolean another =
+        !answeredOnce && holderIndex + 1 < holders.size() && remainingWaitMillis() > 0;
+    request.holderListener().notRun(holder(), stream, sent, cause, another);
+    if (!another) {
       return false;
     }
-    request.asksAnotherHolder(holder(), cause);
     holderIndex++;
     sentMillis = client.now();
     sendOpen();
@@ -291,6 +293,9 @@
       notDelivered(cause);
     } else if (!ended) {
       ended = true;
+      if (open != null) {
+        request.holderListener().lost(holder(), stream, cause);
+      }
       listener.closed(cause);
     }
   }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayMessage.java
@@ -79,7 +79,7 @@
       ReadFloor floor)
       implements RelayMessage {
     /** Identity of the first caller's statement, or null when only a transaction is begun. */
-    StatementId firstStatement() {
+    public StatementId firstStatement() {
       for (Step step : steps) {
         if (step instanceof ExecuteShape execute) {
           return execute.id();
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -113,7 +113,7 @@
     } else if (message instanceof RelayMessage.Close close) {
       RelayedWork work = find(sender, close.stream());
       if (work != null) {
-        work.end();
+        work.giveUp("closed by its sender");
       }
       // Also a sign of life: a sender that hears nothing takes the link for stuck.
       send(sender, new RelayMessage.Ended(close.stream(), "closed by its sender"));
@@ -158,10 +158,15 @@
       String cause,
       long retryAfterMillis,
       MemberNews news) {
-    log.refusedForOther(open.firstStatement(), sender, open.member(), cause);
+    log.refusedForOther(open, sender, cause);
     send(sender, new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis, news));
   }
 
+  /** Tells that a stream ends with an answer owed. */
+  void endedUnanswered(String sender, RelayMessage.Open open, boolean hadLink, String cause) {
+    log.endedUnanswered(open, sender, hadLink, cause);
+  }
+
   private RelayedWork find(String sender, long stream) {
     return streams.getOrDefault(sender, Map.of()).get(stream);
   }
@@ -221,7 +226,7 @@
   }
 
   private void giveUp(RelayedWork work, String cause) {
-    work.end();
+    work.giveUp(cause);
     send(work.sender(), new RelayMessage.Ended(work.stream(), cause));
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -236,14 +236,24 @@
 
     @Override
     public void lost(String cause) {
-      working = false;
       if (!ended) {
+        server.endedUnanswered(sender, open, true, "the member was lost: " + cause);
+        working = false;
         end();
         server.send(sender, new RelayMessage.Ended(open.stream(), "the member was lost: " + cause));
       }
     }
   }
 
+  /** Ends before all is answered. */
+  void giveUp(String cause) {
+    boolean owesAnswer = link == null || working;
+    if (!ended && owesAnswer) {
+      server.endedUnanswered(sender, open, link != null, cause);
+    }
+    end();
+  }
+
   /** Gives the link back, rolled back where something is open on it. */
   void end() {
     if (ended) {
--- a/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
+++ b/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
@@ -11,7 +11,6 @@
 import org.streamcourse.request.routing.StatementPlan;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.AnswerCode;
-import org.streamcourse.request.statement.SessionState;
 import org.streamcourse.version.image.TenantId;
 import org.streamcourse.version.image.TenantRule;
 import reactor.core.Disposable;
@@ -85,8 +84,8 @@
   public void refused(QuotaRefusal refusal) {
     if (!cancelled) {
       node.log().overLimit(context, refusal.cause());
-      String text = refusal.cause() + "; retry-after-ms=" + refusal.retryAfterMillis();
-      listener.finished(Answer.error(AnswerCode.BUSY, text, SessionState.IDLE));
+      listener.finished(
+          Answer.refusal(AnswerCode.BUSY, refusal.cause(), refusal.retryAfterMillis()));
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
@@ -6,10 +6,11 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.streamcourse.connection.member.HolderListener;
+import org.streamcourse.connection.relay.RelayMessage;
 import org.streamcourse.process.LineBudget;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.AnswerCode;
-import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.version.image.MemberId;
 
 /**
@@ -152,34 +153,77 @@
     }
   }
 
-  /** A holder of connections did not run a statement, and another holder is asked. */
-  void asksAnotherHolder(StatementContext context, String holder, String cause) {
-    otherHolders++;
+  /** Returns what tells how holders of connections fail for a statement. */
+  HolderListener holderListener(StatementContext context) {
+    return new HolderListener() {
+      @Override
+      public void notRun(
+          String holder, long stream, boolean handedOver, String cause, boolean asksAnother) {
+        otherHolders += asksAnother ? 1 : 0;
+        if (budget.take()) {
+          LOG.info(
+              "statement not run by holder {} {} {} {} {} {}",
+              keyValue("request", context.traceId()),
+              keyValue("holder", holder),
+              keyValue("stream", stream),
+              keyValue("handedOver", handedOver),
+              keyValue("cause", cause),
+              keyValue("asksAnother", asksAnother));
+        }
+      }
+
+      @Override
+      public void lost(String holder, long stream, String cause) {
+        if (budget.take()) {
+          LOG.info(
+              "statement lost at holder {} {} {} {}",
+              keyValue("request", context.traceId()),
+              keyValue("holder", holder),
+              keyValue("stream", stream),
+              keyValue("cause", cause));
+        }
+      }
+    };
+  }
+
+  /**
+   * This node holds connections and gives none for another node's statement; nothing was run.
+   *
+   * @param open the stream's beginning
+   * @param sender node that has the statement
+   * @param cause why
+   */
+  public void refusedForOther(RelayMessage.Open open, String sender, String cause) {
+    refusedForOthers++;
     if (budget.take()) {
       LOG.info(
-          "statement asks another holder {} {} {}",
-          keyValue("request", context.traceId()),
-          keyValue("holder", holder),
+          "relayed statement not run {} {} {} {} {}",
+          keyValue("request", open.firstStatement()),
+          keyValue("sender", sender),
+          keyValue("stream", open.stream()),
+          keyValue("member", open.member()),
           keyValue("cause", cause));
     }
   }
 
   /**
-   * This node holds connections and gives none for another node's statement; nothing was run.
+   * Another node's stream ends here with an answer owed.
    *
-   * @param statement the first statement of the stream, or null when there is none yet
+   * @param open the stream's beginning
    * @param sender node that has the statement
-   * @param member member that was to run it
-   * @param cause why
+   * @param hadLink whether a connection was granted, so that the member may have been asked
+   * @param cause what happened
    */
-  public void refusedForOther(StatementId statement, String sender, MemberId member, String cause) {
-    refusedForOthers++;
+  public void endedUnanswered(
+      RelayMessage.Open open, String sender, boolean hadLink, String cause) {
     if (budget.take()) {
       LOG.info(
-          "relayed statement not run {} {} {} {}",
-          keyValue("request", statement),
+          "relayed statement ended unanswered {} {} {} {} {} {}",
+          keyValue("request", open.firstStatement()),
           keyValue("sender", sender),
-          keyValue("member", member),
+          keyValue("stream", open.stream()),
+          keyValue("member", open.member()),
+          keyValue("hadLink", hadLink),
           keyValue("cause", cause));
     }
   }
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -1,6 +1,7 @@
 package org.streamcourse.request.routing;
 
 import java.util.Map;
+import org.streamcourse.connection.member.HolderListener;
 import org.streamcourse.connection.member.LinkRequest;
 import org.streamcourse.connection.member.MemberLink;
 import org.streamcourse.connection.member.MemberLinks;
@@ -298,8 +299,8 @@
     }
 
     @Override
-    public void asksAnotherHolder(String holder, String cause) {
-      log.asksAnotherHolder(context, holder, cause);
+    public HolderListener holderListener() {
+      return log.holderListener(context);
     }
 
     @Override
@@ -481,9 +482,8 @@
   }
 
   private void refuse(AnswerCode code, String cause, long retryAfterMillis) {
-    String text = retryAfterMillis > 0 ? cause + "; retry-after-ms=" + retryAfterMillis : cause;
     log.refused(context, code, cause, plan, times.waitedMillis(worker.now()));
-    finish(Answer.error(code, text, SessionState.IDLE));
+    finish(Answer.refusal(code, cause, retryAfterMillis));
   }
 
   private void finish(Answer answer) {
--- a/server/src/main/java/org/streamcourse/request/statement/Answer.java
+++ b/server/src/main/java/org/streamcourse/request/statement/Answer.java
@@ -39,6 +39,19 @@
     return new Answer(List.of(), code, text, state, null);
   }
 
+  /**
+   * Creates an error outside a transaction that tells when to come back.
+   *
+   * @param code what happened
+   * @param cause text for a person
+   * @param retryAfterMillis time to come back, or 0 to tell none
+   * @return answer
+   */
+  public static Answer refusal(AnswerCode code, String cause, long retryAfterMillis) {
+    String text = retryAfterMillis > 0 ? cause + "; retry-after-ms=" + retryAfterMillis : cause;
+    return error(code, text, SessionState.IDLE);
+  }
+
   /**
    * Tells whether the statement completed.
    *
