Simulator: links between living processes are reset; a write runs twice, known red

Seen: with the new scenario links-reset the code as it is brings a write to a member a second time. The simulated network breaks a link between two processes that live on, with what is on it; it dials as the real one does (not again within 100 ms), and lets each process hear within 20 ms, in no certain order. The simulator broke links only when a process ended, and told both words in one order. The checks are as they were.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/Faults.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/Faults.java
@@ -105,6 +105,14 @@
         });
   }
 
+  // ---- links ----
+
+  static void resetLinks(World world) {
+    LinkResets.start(
+        world::after, world.network(), world.random(), List.copyOf(world.proxies().keySet()));
+    world.faults().count("links-reset");
+  }
+
   // ---- cuts ----
 
   static void cutPrimaryRegion(World world) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/Scenario.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/Scenario.java
@@ -56,7 +56,9 @@
   /** Two of the failures above at once. */
   TWO_AT_ONCE(Scenario::startTwo),
   /** The platform's list, which each controller reads late, calls a member leaving. */
-  PLATFORM_LEAVING(Faults::leaveByPlatform);
+  PLATFORM_LEAVING(Faults::leaveByPlatform),
+  /** Links between living proxies are reset again and again, also right after they were opened. */
+  LINKS_RESET(Faults::resetLinks);
 
   /** Scenarios of nothing but planned work, in which callers must see no error at all. */
   private static final Set<Scenario> PLANNED =
--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceScenario.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceScenario.java
@@ -50,7 +50,9 @@
   /** Keys of tenants are replaced while their callers are connected. */
   KEYS_CHANGE(ServiceScenario::changeKeys),
   /** A tenant's limit is lowered far below what its callers do. */
-  LIMIT_LOWERED(ServiceScenario::lowerLimit);
+  LIMIT_LOWERED(ServiceScenario::lowerLimit),
+  /** Links between living proxies are reset again and again, also right after they were opened. */
+  LINKS_RESET(ServiceScenario::resetLinks);
 
   private static final long MOST_DELAY_MILLIS = 3_000;
   private static final long OUTAGE_MILLIS = 4_000;
@@ -298,6 +300,12 @@
         });
   }
 
+  private static void resetLinks(ServiceWorld world) {
+    LinkResets.start(
+        world::after, world.network(), world.random(), List.copyOf(world.proxies().keySet()));
+    world.faults().count("links-reset");
+  }
+
   private static void bootIfDown(ServiceWorld world, String controller) {
     if (!world.isUp(controller)) {
       world.bootController(controller, false);
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimNetwork.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimNetwork.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.streamcourse.connection.peer.PeerHandler;
 import org.streamcourse.connection.peer.PeerNetwork;
@@ -32,6 +33,9 @@
   private static final int JITTER_PERCENT = 30;
   private static final long REORDER_MICROS = 30_000;
 
+  /** Longest time from what a process's network sees until the process hears of it. */
+  private static final long LONGEST_WORD_MICROS = 20_000;
+
   private final Scheduler scheduler;
   private final UniformRandomProvider random;
   private final MessageCodec codec;
@@ -43,6 +47,7 @@
   private final Map<Pair, Long> lastArrival = new HashMap<>();
   private final Set<Pair> cuts = new HashSet<>();
   private final List<Held> held = new ArrayList<>();
+  private final Map<Pair, SimLink> resetLinks = new HashMap<>();
   private boolean faulty;
 
   SimNetwork(
@@ -103,6 +108,11 @@
       return;
     }
     byte[] bytes = codec.encode(parts.transmit(sender.name(), peer, message));
+    SimLink link = resetLinks.get(new Pair(sender.name(), peer));
+    if (link != null && !link.isUp()) {
+      sendOnceOpen(link, sender, receiver, bytes);
+      return;
+    }
     boolean control = message instanceof ControlMessage;
     if (control && faulty && random.nextDouble() < conditions.loss()) {
       faults.count("message-lost");
@@ -128,6 +138,74 @@
     }
   }
 
+  // ---- links that are reset ----
+
+  /**
+   * Resets the link from one living process to another, or the dial under way: what is on it is
+   * lost. Both processes hear of it, each by a thread of its network that may have to wait for a
+   * processor, so what they hear is in no certain order with what else they hear and send.
+   */
+  void resetLink(String from, String to) {
+    SimHost sender = hosts.get(from);
+    SimHost receiver = hosts.get(to);
+    SimLink link = resetLinks.computeIfAbsent(new Pair(from, to), any -> new SimLink());
+    boolean wasUp = link.isUp();
+    boolean wasDialing = link.isDialing();
+    List<SimLink.Waiting> dropped = link.reset();
+    if (wasUp) {
+      tell(sender, handler -> handler.linkLost(to));
+      tell(receiver, handler -> handler.linkLost(from));
+    } else if (wasDialing) {
+      tellDropped(sender, to, dropped);
+    }
+  }
+
+  private void sendOnceOpen(SimLink link, SimHost sender, SimHost receiver, byte[] bytes) {
+    int run = receiver.run();
+    Object message = codec.decode(bytes);
+    Runnable delivery =
+        () -> receiver.execute(run, () -> receive(sender.name(), receiver.name(), bytes));
+    SimLink.Waiting waiting = new SimLink.Waiting(message, delivery);
+    if (link.isDialing()) {
+      link.add(waiting);
+      return;
+    }
+    long now = scheduler.now(TimeUnit.MICROSECONDS);
+    if (!receiver.isUp() || !link.mayDial(now)) {
+      tellDropped(sender, receiver.name(), List.of(waiting));
+      return;
+    }
+    link.add(waiting);
+    link.dial(now);
+    Pair pair = new Pair(sender.name(), receiver.name());
+    int number = link.number();
+    long roundTrip = 2 * latencyMicros(pair);
+    scheduler.schedule(() -> opened(link, number, pair), roundTrip, TimeUnit.MICROSECONDS);
+  }
+
+  private void opened(SimLink link, int number, Pair pair) {
+    if (link.number() == number) {
+      link.open().forEach(each -> schedule(pair, each.delivery(), true));
+    }
+  }
+
+  private void tellDropped(SimHost sender, String peer, List<SimLink.Waiting> dropped) {
+    if (!dropped.isEmpty()) {
+      tell(sender, handler -> handler.unreachable(peer));
+    }
+  }
+
+  private void tell(SimHost hearer, Consumer<PeerHandler> word) {
+    int run = hearer.run();
+    Runnable told = () -> hearer.execute(run, () -> word.accept(handlers.get(hearer.name())));
+    scheduler.schedule(told, random.nextLong(LONGEST_WORD_MICROS), TimeUnit.MICROSECONDS);
+  }
+
+  private int numberOf(Pair pair) {
+    SimLink link = resetLinks.get(pair);
+    return link == null ? 0 : link.number();
+  }
+
   /** Tells a sender that the receiver's machine refuses links. */
   private void refuse(SimHost sender, SimHost receiver) {
     int run = sender.run();
@@ -170,7 +248,15 @@
     } else if (faulty) {
       arrival += random.nextLong(REORDER_MICROS);
     }
-    scheduler.schedule(() -> arrive(pair, delivery, inOrder), arrival - now, TimeUnit.MICROSECONDS);
+    int number = numberOf(pair);
+    Runnable unlessReset =
+        () -> {
+          if (numberOf(pair) == number) {
+            delivery.run();
+          }
+        };
+    scheduler.schedule(
+        () -> arrive(pair, unlessReset, inOrder), arrival - now, TimeUnit.MICROSECONDS);
   }
 
   /** A cut that began while the message travelled stops it too. */
--- a/lab/src/test/java/org/streamcourse/lab/simulation/RelayScenarioTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/RelayScenarioTest.java
@@ -46,6 +46,18 @@
     }
   }
 
+  @DataProvider
+  public Object[][] formerDoubleRuns() {
+    return new Object[][] {{51L}, {843L}, {932L}};
+  }
+
+  /** Guards against a write that runs twice when links between proxies are reset (TWICE). */
+  @Test(dataProvider = "formerDoubleRuns")
+  public void aWriteOnALinkThatIsResetRunsOnce(long seed) {
+    ServiceWorld world = run(seed, ServiceSize.FEW_CONNECTIONS, ServiceScenario.LINKS_RESET);
+    assertEquals(world.checks().violations(), List.of(), "" + world.checks().lastEvents());
+  }
+
   @DataProvider
   public Object[][] sizes() {
     return new Object[][] {{ServiceSize.FEW_CONNECTIONS}, {SEVENTY_PROXIES}};
