Links: what was not delivered is told message by message, so a write is not sent twice

Cause: 'can't be reached' was told of a peer and applied to all that was under way through it, as 'not delivered', and that was sent again. It holds only if the end of the last link was heard before, and if nothing was sent since; neither is so. The network's threads tell both words and the worker hears them later. Class of fault: a fact inferred from the order of events of several threads. Ruled out by reading: a refusal after a grant (a request leaves the queue before either), a command that a link writes twice. Change: PeerHandler.unreachable is replaced by undelivered(peer, messages): only what waited for a link and was dropped is named. RelayClient, EdgeNode and HomedQuotas go by these messages; all else waits for linkLost. A message that is one too many in the wait is named as well. A holder that is suspected and owes an answer on an earlier link is given up after the same silence as others. The unsafe twin names as undelivered what it had sent on the lost link, which is what it stood for. Why it holds: a message on no link can't arrive, whatever else is heard in which order.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimNetwork.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimNetwork.java
@@ -127,7 +127,7 @@
       schedule(pair, delivery, false);
     }
     if (!receiver.isUp() && !isCut(sender.name(), peer)) {
-      refuse(sender, receiver);
+      refuse(sender, receiver, codec.decode(bytes));
     }
   }
 
@@ -153,8 +153,8 @@
     boolean wasDialing = link.isDialing();
     List<SimLink.Waiting> dropped = link.reset();
     if (wasUp) {
-      tell(sender, handler -> handler.linkLost(to));
-      tell(receiver, handler -> handler.linkLost(from));
+      tell(sender, handler -> parts.linkLost(handler, from, to));
+      tell(receiver, handler -> parts.linkLost(handler, to, from));
     } else if (wasDialing) {
       tellDropped(sender, to, dropped);
     }
@@ -191,7 +191,8 @@
 
   private void tellDropped(SimHost sender, String peer, List<SimLink.Waiting> dropped) {
     if (!dropped.isEmpty()) {
-      tell(sender, handler -> handler.unreachable(peer));
+      List<Object> messages = dropped.stream().map(SimLink.Waiting::message).toList();
+      tell(sender, handler -> handler.undelivered(peer, messages));
     }
   }
 
@@ -207,10 +208,11 @@
   }
 
   /** Tells a sender that the receiver's machine refuses links. */
-  private void refuse(SimHost sender, SimHost receiver) {
+  private void refuse(SimHost sender, SimHost receiver, Object message) {
     int run = sender.run();
-    Runnable told =
-        () -> sender.execute(run, () -> handlers.get(sender.name()).unreachable(receiver.name()));
+    List<Object> messages = List.of(message);
+    Runnable word = () -> handlers.get(sender.name()).undelivered(receiver.name(), messages);
+    Runnable told = () -> sender.execute(run, word);
     schedule(new Pair(receiver.name(), sender.name()), told, true);
   }
 
@@ -222,7 +224,7 @@
         continue;
       }
       int run = peer.run();
-      Runnable told = () -> peer.execute(run, () -> parts.linkLost(handler, dead));
+      Runnable told = () -> peer.execute(run, () -> parts.linkLost(handler, peer.name(), dead));
       schedule(new Pair(dead, peer.name()), told, true);
     }
   }
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimParts.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimParts.java
@@ -28,9 +28,9 @@
     return message;
   }
 
-  /** Tells a process that the link to a peer that died is lost. */
-  void linkLost(PeerHandler handler, String dead) {
-    handler.linkLost(dead);
+  /** Tells a process that a link to or from a peer is lost. */
+  void linkLost(PeerHandler handler, String self, String peer) {
+    handler.linkLost(peer);
   }
 
   /** What a controller gets instead of an operator's statement. */
--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -8,6 +8,9 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import org.streamcourse.connection.peer.PeerAddress;
@@ -35,6 +38,12 @@
   private static final class Counts implements PeerHandler {
     private final AtomicInteger received = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private final Queue<Object> undelivered = new ConcurrentLinkedQueue<>();
+
+    @Override
+    public void undelivered(String peer, List<Object> messages) {
+      undelivered.addAll(messages);
+    }
 
     @Override
     public void receive(String peer, Object message) {
@@ -86,6 +95,35 @@
     loops.dispose();
   }
 
+  /** Guards against a delivered message that counts as dropped (TWICE). */
+  @Test
+  public void onlyMessagesThatWereOnNoLinkAreToldAsUndelivered() throws Exception {
+    LoopResources loops = LoopResources.create("dropped-test", 2, true);
+    int portOfEdge = freePort();
+    int portOfHolder = freePort();
+    Counts edge = new Counts();
+    TcpPeerNetwork edgeNetwork = network("edge", loops, portOfHolder);
+    edgeNetwork.start(HOST, portOfEdge, edge);
+    LoopResources holderLoops = LoopResources.create("holder", 1, true);
+    Counts holder = new Counts();
+    network("holder", holderLoops, portOfEdge).start(HOST, portOfHolder, holder);
+    KeepStreams delivered = new KeepStreams(List.of(1L));
+    KeepStreams later = new KeepStreams(List.of(2L));
+    edgeNetwork.send("holder", delivered);
+    await().atMost(PATIENCE).until(() -> holder.received.get() == 1);
+    holderLoops.disposeLater(Duration.ZERO, Duration.ofSeconds(5)).subscribe();
+    await()
+        .atMost(PATIENCE)
+        .pollInterval(Duration.ofMillis(1))
+        .until(
+            () -> {
+              edgeNetwork.send("holder", later);
+              return edge.lost.get() > 0 && edge.undelivered.size() > EXCHANGES;
+            });
+    assertEquals(Set.copyOf(edge.undelivered), Set.of(later));
+    loops.dispose();
+  }
+
   @Test
   public void aBusyLinkToAnotherRegionIsCompressedAndLosesNothing() throws Exception {
     LoopResources loops = LoopResources.create("far-test", 2, true);
--- a/lab/src/test/java/org/streamcourse/lab/simulation/UnsafeTwinTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/UnsafeTwinTest.java
@@ -2,6 +2,9 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -250,9 +253,20 @@
   /** Edges that take a lost link for a request that was never delivered. */
   private static SimParts lossAsRefusal() {
     return new SimParts() {
+      private final Map<String, List<Object>> opened = new HashMap<>();
+
+      @Override
+      Object transmit(String from, String to, Object message) {
+        if (message instanceof OpenStream) {
+          opened.computeIfAbsent(from + ' ' + to, any -> new ArrayList<>()).add(message);
+        }
+        return message;
+      }
+
       @Override
-      void linkLost(PeerHandler handler, String dead) {
-        handler.unreachable(dead);
+      void linkLost(PeerHandler handler, String self, String peer) {
+        List<Object> lost = opened.remove(self + ' ' + peer);
+        handler.undelivered(peer, lost == null ? List.of() : lost);
       }
     };
   }
--- a/server/src/main/java/org/streamcourse/connection/peer/PeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/PeerNetwork.java
@@ -5,7 +5,8 @@
 /**
  * Sends typed messages to other processes of the fleet. Messages to one peer arrive in order or not
  * at all; a lost link loses those in flight, and the sender learns of it only through missing
- * answers or {@link PeerHandler#linkLost}.
+ * answers or {@link PeerHandler#linkLost}. What was never written to a link is told message by
+ * message ({@link PeerHandler#undelivered}).
  */
 public interface PeerNetwork {
   /**
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -48,8 +48,12 @@
   /** Silence that is borne on links whose peers need not answer. */
   private static final Duration ANY_SILENCE = Duration.ofDays(1);
 
-  /** An encoded message. */
-  private record Outgoing(byte[] bytes, Class<?> kind, boolean expectsAnswer) {}
+  /** A message and its encoding. */
+  private record Outgoing(Object message, byte[] bytes) {
+    boolean expectsAnswer() {
+      return !(message instanceof OneWayMessage);
+    }
+  }
 
   private final String self;
   private final MessageCodec codec;
@@ -197,8 +201,7 @@
   }
 
   private Outgoing outgoing(Object message) {
-    return new Outgoing(
-        codec.encode(message), LinkTraffic.kindOf(message), !(message instanceof OneWayMessage));
+    return new Outgoing(message, codec.encode(message));
   }
 
   private void send(String peer, Outgoing message) {
@@ -334,14 +337,15 @@
         return;
       }
       if (channel != null) {
-        // Told before anything that follows from the next dial: what went into the broken link may
-        // have been delivered. lost() does not tell it again.
+        // lost() does not tell it again.
         ended();
         handler.linkLost(peer);
       }
-      if (waiting.size() < MAX_WAITING) {
-        waiting.add(message);
+      if (waiting.size() >= MAX_WAITING) {
+        tellUndelivered(List.of(message), "too many messages wait for the dial");
+        return;
       }
+      waiting.add(message);
       dial();
     }
 
@@ -356,7 +360,7 @@
       PeerDistance distance = distanceTo(peer);
       byte[] bytes = packer.pack(message.bytes(), distance == PeerDistance.OTHER_REGION);
       sentBytes.addAndGet(LENGTH_BYTES + bytes.length);
-      traffic.sent(message.kind(), distance, LENGTH_BYTES + bytes.length);
+      traffic.sent(LinkTraffic.kindOf(message.message()), distance, LENGTH_BYTES + bytes.length);
       // Length and content in one buffer, so that one call of the system writes both.
       ByteBuf frame = Unpooled.buffer(LENGTH_BYTES + bytes.length);
       frame.writeInt(bytes.length).writeBytes(bytes);
@@ -429,10 +433,15 @@
     }
 
     private void drop(String cause) {
-      log.dropped(peer, waiting.size(), cause);
+      List<Outgoing> dropped = List.copyOf(waiting);
       waiting.clear();
+      tellUndelivered(dropped, cause);
+    }
+
+    private void tellUndelivered(List<Outgoing> dropped, String cause) {
+      log.dropped(peer, dropped.size(), cause);
       if (handler != null) {
-        handler.unreachable(peer);
+        handler.undelivered(peer, dropped.stream().map(Outgoing::message).toList());
       }
     }
 
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayClient.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
@@ -229,20 +230,39 @@
   }
 
   /**
-   * A holder can't be reached; what was sent to it since its last link broke has not arrived.
+   * No link to a holder came about. Work that was dropped, or not brought there yet, goes to
+   * another one; work that was on an earlier link is judged by {@link #linkLost}.
    *
    * @param name name of the holder
+   * @param messages what was dropped
    */
-  public void unreachable(String name) {
+  public void undelivered(String name, List<Object> messages) {
     Holder holder = holders.get(name);
     if (holder == null) {
       return;
     }
     suspect(name, holder, "no link comes about");
     holder.established = false;
-    List<RelayChannel> unsent = List.copyOf(holder.streams.values());
-    holder.streams.clear();
-    unsent.forEach(channel -> channel.notDelivered("no link to " + name));
+    List<RelayChannel> notBrought = new ArrayList<>();
+    for (Object message : messages) {
+      if (message instanceof RelayMessage.Open open) {
+        notBrought.add(holder.streams.remove(open.stream()));
+      } else if (message instanceof RelayMessage.Continue next) {
+        loseStream(holder, next.stream(), "no link to " + name);
+      }
+    }
+    holder.streams.values().stream().filter(each -> !each.mayHaveRun()).forEach(notBrought::add);
+    holder.streams.values().removeAll(notBrought);
+    notBrought.stream()
+        .filter(Objects::nonNull)
+        .forEach(each -> each.notDelivered("no link to " + name));
+  }
+
+  private static void loseStream(Holder holder, long stream, String cause) {
+    RelayChannel channel = holder.streams.remove(stream);
+    if (channel != null) {
+      channel.lost(cause);
+    }
   }
 
   /** Looks after the holders; to be called a few times a second. */
@@ -270,6 +290,9 @@
 
   private void askOrSuspect(String name) {
     Holder holder = holder(name);
+    if (holder.suspected && owesAnswerSince(holder) < worker.now() - SILENCE_MILLIS - PONG_MILLIS) {
+      loseStreams(holder, "the node " + name + " is silent");
+    }
     if (holder.suspected || holder.pingedMillis == NOT_PINGED) {
       ping(name, holder);
       return;
--- a/server/src/main/java/org/streamcourse/process/ProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyNode.java
@@ -162,7 +162,7 @@
   }
 
   @Override
-  public void unreachable(String peer) {
-    edge.unreachable(peer);
+  public void undelivered(String peer, List<Object> messages) {
+    edge.undelivered(messages);
   }
 }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -355,11 +355,11 @@
   }
 
   @Override
-  public void unreachable(String peer) {
+  public void undelivered(String peer, List<Object> messages) {
     worker.execute(
         () -> {
-          relayClient.unreachable(peer);
-          quotas.unreachable(peer);
+          relayClient.undelivered(peer, messages);
+          quotas.undelivered(peer, messages);
         });
   }
 }
--- a/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
+++ b/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
@@ -15,6 +15,8 @@
 import org.streamcourse.request.StreamMessage;
 import org.streamcourse.request.StreamMessage.Broken;
 import org.streamcourse.request.StreamMessage.KeepStreams;
+import org.streamcourse.request.StreamMessage.NextUnit;
+import org.streamcourse.request.StreamMessage.OpenStream;
 import org.streamcourse.request.StreamMessage.Output;
 import org.streamcourse.request.StreamMessage.PositionReply;
 import org.streamcourse.request.StreamMessage.Refused;
@@ -296,27 +298,29 @@
    * @param peer the gateway's node
    */
   public void linkLost(String peer) {
-    forStreamsThrough(peer, executor -> executor.onBroken("link", "link to " + peer + " broke"));
-  }
-
-  /**
-   * Moves on the streams whose messages were not delivered.
-   *
-   * @param peer node that can't be reached
-   */
-  public void unreachable(String peer) {
-    forStreamsThrough(peer, RequestExecutor::onUndelivered);
-  }
-
-  private void forStreamsThrough(String peer, Consumer<RequestExecutor> task) {
     streams.forEach(
         (id, executor) -> {
           if (executor.gateway().equals(peer)) {
-            onStream(id, task);
+            onStream(id, each -> each.onBroken("link", "link to " + peer + " broke"));
           }
         });
   }
 
+  /**
+   * Moves on the streams that were not opened, and breaks those that miss a later message.
+   *
+   * @param messages what was dropped on the way to a gateway
+   */
+  public void undelivered(List<Object> messages) {
+    for (Object message : messages) {
+      if (message instanceof OpenStream open) {
+        onStream(open.streamId(), RequestExecutor::onUndelivered);
+      } else if (message instanceof NextUnit next) {
+        onStream(next.streamId(), each -> each.onBroken("link", "the gateway can't be reached"));
+      }
+    }
+  }
+
   private void checkStreams() {
     ClusterImage image = image();
     streams.forEach(
--- a/server/src/main/java/org/streamcourse/request/quota/HomedQuotas.java
+++ b/server/src/main/java/org/streamcourse/request/quota/HomedQuotas.java
@@ -206,14 +206,21 @@
   }
 
   /**
-   * A node can't be reached.
+   * No link to a node came about.
    *
    * @param peer name of the node
+   * @param messages what was dropped on the way to it
    */
-  public void unreachable(String peer) {
+  public void undelivered(String peer, List<Object> messages) {
     if (homeOf.containsValue(peer)) {
       peers.suspect(peer, "no link comes about");
-      loseHome(peer);
+    }
+    for (Object message : messages) {
+      if (message instanceof HomeMessage.Ask ask) {
+        for (int i = 0; i < ask.tenants().size(); i++) {
+          loseHome(peer, ask.firstNumber() + i);
+        }
+      }
     }
   }
 
@@ -225,11 +232,13 @@
             lost.add(number);
           }
         });
-    for (int number : lost) {
-      HomedOperation operation = remove(number, peer);
-      if (operation != null) {
-        operation.homeLost();
-      }
+    lost.forEach(number -> loseHome(peer, number));
+  }
+
+  private void loseHome(String peer, int number) {
+    HomedOperation operation = remove(number, peer);
+    if (operation != null) {
+      operation.homeLost();
     }
   }
 
--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -109,7 +109,8 @@
   /** Brings a message over, as bytes, unless an end of the way is silent or down. */
   private void carry(String from, String to, Object message) {
     if (down.contains(to)) {
-      service.worker.schedule(WAY_MILLIS, () -> nodes.get(from).client.unreachable(to));
+      service.worker.schedule(
+          WAY_MILLIS, () -> nodes.get(from).client.undelivered(to, List.of(message)));
       return;
     }
     byte[] bytes = CODEC.encode(message);
@@ -317,6 +318,38 @@
     assertEquals(service.completed(), 2, "others are asked meanwhile");
   }
 
+  /** Lets a write be under way at the member through its first holder. */
+  private String holderOfRunningWrite() {
+    service.workMillis = 50;
+    write("w");
+    service.pass(8 * WAY_MILLIS);
+    assertEquals(writesRun(), 1);
+    return firstHolder(ScriptedService.PRIMARY);
+  }
+
+  /** Guards against a second run (TWICE) when the end of a link is heard after what it dropped. */
+  @Test
+  public void aWriteOnABrokenLinkIsNotSentAgainWhenALaterMessageIsDroppedFirst() {
+    String holder = holderOfRunningWrite();
+    origin.client.undelivered(holder, List.of(new RelayMessage.Ping()));
+    service.pass(10);
+    origin.client.linkLost(holder);
+    service.pass(1_000);
+    assertEquals(writesRun(), 1);
+    assertEquals(service.answers.size(), 1);
+    assertEquals(service.answers.get(0).code(), AnswerCode.OUTCOME_UNKNOWN);
+  }
+
+  /** Guards against a second run (TWICE) when an old word is heard after a new link has opened. */
+  @Test
+  public void aWriteOnANewLinkIsNotSentAgainWhenItIsHeardThatAnEarlierMessageWasDropped() {
+    String holder = holderOfRunningWrite();
+    origin.client.undelivered(holder, List.of(new RelayMessage.Close(1)));
+    service.pass(1_000);
+    assertEquals(writesRun(), 1);
+    assertEquals(service.completed(), 1);
+  }
+
   @Test
   public void nothingIsBroughtToAHolderThatHasNotSpoken() {
     silent.add(firstHolder(ScriptedService.PRIMARY));
