Links: a quiet time after a message that needs no answer does not count as a stuck link

Cause: a link counts as stuck when a message that expects an answer has none for 4 s. No message between the processes before groups was marked as one that needs none, so after a Credit, CloseStream or AwaitReceived and a rest the next statement closed a healthy link, and the peer closed its own in turn. Evidence, by the new lines, in a fleet beside busy loops: 'link to p4 is silent; opens another', then 'link ended peer=p4 messages=5 ageMillis=4885', and p4's link back. Ruled out: a link that broke by itself (no such line before it). Load alone: the rest is enough, LinkTest shows it without load. Change: the ten kinds of messages that need no answer say so. OpenStream, NextUnit, KeepStreams and PositionRequest go on expecting one, so a link that is silent is found as before (SilencedLinkTest). Result: LinkTest.silenceAfterAMessageThatNeedsNoAnswerIsBorne failed before for 5 of 6 kinds, passes now; SilencedLinkTest passes.

--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -21,9 +21,12 @@
 import org.streamcourse.lab.relay.Relay;
 import org.streamcourse.process.FleetKey;
 import org.streamcourse.process.settings.HostPort;
+import org.streamcourse.request.StreamMessage;
 import org.streamcourse.request.StreamMessage.KeepStreams;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.version.image.Place;
+import org.streamcourse.version.image.TermPosition;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import reactor.netty.resources.LoopResources;
 
@@ -183,8 +186,22 @@
     loops.dispose();
   }
 
-  @Test
-  public void silenceAfterAMessageThatNeedsNoAnswerIsBorne() throws Exception {
+  @DataProvider
+  public Object[][] messagesWithoutAnswer() {
+    TermPosition place = new TermPosition(1, 1);
+    return new Object[][] {
+      {new RelayMessage.Pong()},
+      {new StreamMessage.CloseStream(1)},
+      {new StreamMessage.Credit(1, 1)},
+      {new StreamMessage.Broken(1, "link", "it broke")},
+      {new StreamMessage.AwaitReceived("group", "member", 1, place)},
+      {new StreamMessage.ReceivedReport("group", "member", 1, place)}
+    };
+  }
+
+  /** Guards against a healthy link that is closed, with a statement on it, after a quiet time. */
+  @Test(dataProvider = "messagesWithoutAnswer")
+  public void silenceAfterAMessageThatNeedsNoAnswerIsBorne(Object message) throws Exception {
     LoopResources loops = LoopResources.create("one-way-test", 2, true);
     int portOfHolder = freePort();
     int portOfSender = freePort();
@@ -193,11 +210,11 @@
     TcpPeerNetwork holderNetwork = impatientNetwork("holder", loops, portOfSender);
     holderNetwork.start(HOST, portOfHolder, holder);
     impatientNetwork("sender", loops, portOfHolder).start(HOST, portOfSender, sender);
-    holderNetwork.send("sender", new RelayMessage.Pong());
+    holderNetwork.send("sender", message);
     await().atMost(PATIENCE).until(() -> sender.received.get() == 1);
-    holderNetwork.send("sender", new RelayMessage.Pong());
+    holderNetwork.send("sender", message);
     await().pollDelay(SILENCE.multipliedBy(2)).atMost(PATIENCE).until(() -> true);
-    holderNetwork.send("sender", new RelayMessage.Pong());
+    holderNetwork.send("sender", message);
     await().atMost(PATIENCE).until(() -> sender.received.get() == 3);
     assertEquals(holder.lost.get(), 0, "links lost");
     loops.dispose();
--- a/server/src/main/java/org/streamcourse/request/StreamMessage.java
+++ b/server/src/main/java/org/streamcourse/request/StreamMessage.java
@@ -1,6 +1,7 @@
 package org.streamcourse.request;
 
 import java.util.List;
+import org.streamcourse.connection.peer.OneWayMessage;
 import org.streamcourse.version.control.MemberStatus;
 import org.streamcourse.version.image.TermPosition;
 
@@ -77,21 +78,21 @@
    * @param streamId the stream
    * @param bytes number of bytes that the caller has taken
    */
-  record Credit(long streamId, int bytes) implements StreamMessage {}
+  record Credit(long streamId, int bytes) implements StreamMessage, OneWayMessage {}
 
   /**
    * Ends a stream; an open transaction is rolled back.
    *
    * @param streamId the stream
    */
-  record CloseStream(long streamId) implements StreamMessage {}
+  record CloseStream(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks the member to cancel the running unit.
    *
    * @param streamId the stream
    */
-  record CancelUnit(long streamId) implements StreamMessage {}
+  record CancelUnit(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Shows that the edge still holds its open streams at this gateway.
@@ -106,7 +107,7 @@
    * @param streamId the stream
    * @param messages the messages
    */
-  record Output(long streamId, byte[] messages) implements StreamMessage {}
+  record Output(long streamId, byte[] messages) implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit's answer is complete, up to but without ReadyForQuery.
@@ -120,7 +121,7 @@
    */
   record UnitDone(
       long streamId, char status, TermPosition position, boolean committed, boolean open)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /** Why a gateway did not run a unit. */
   enum Refusal {
@@ -149,7 +150,7 @@
    * @param retryAfterMillis when it may be tried here again
    */
   record Refused(long streamId, Refusal refusal, TermPosition applied, long retryAfterMillis)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit was begun and its outcome is not known; the stream is closed.
@@ -158,7 +159,8 @@
    * @param step step at which it broke
    * @param detail what happened
    */
-  record Broken(long streamId, String step, String detail) implements StreamMessage {}
+  record Broken(long streamId, String step, String detail)
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a gateway to ask a member, now, where it stands.
@@ -178,7 +180,7 @@
    * @param status what it said
    */
   record PositionReply(long requestId, String member, boolean known, MemberStatus status)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a replica's gateway to tell when the replica has received a place under a term.
@@ -189,7 +191,7 @@
    * @param position place to wait for
    */
   record AwaitReceived(String group, String member, long term, TermPosition position)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * A replica has received a place under a term.
@@ -200,5 +202,5 @@
    * @param matched end of the matching part
    */
   record ReceivedReport(String group, String member, long term, TermPosition matched)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 }
