Links: the message that finds its link stuck goes over the next one

Callers saw: the statement whose message closed a stuck link was in doubt (08007), though it never left. Cause: the channel was closed and then written to, since a close takes effect on the event loop later; the message was lost. Change: a stuck link is given up like a broken one before the message is sent; the message waits for the dial. Result: LinkTest.theMessageThatFindsItsLinkStuckGoesOverTheNextLink failed before (60 s without it), passes now; LinkTest (12) and SilencedLinkTest (3) pass.

--- a/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/LinkTest.java
@@ -186,6 +186,28 @@
     loops.dispose();
   }
 
+  /** Guards against a message that is lost since it is the one that finds its link stuck. */
+  @Test
+  public void theMessageThatFindsItsLinkStuckGoesOverTheNextLink() throws Exception {
+    LoopResources loops = LoopResources.create("found-stuck-test", 2, true);
+    int portOfEdge = freePort();
+    int portOfHolder = freePort();
+    Counts edge = new Counts();
+    Counts holder = new Counts();
+    TcpPeerNetwork edgeNetwork = impatientNetwork("edge", loops, portOfHolder);
+    edgeNetwork.start(HOST, portOfEdge, edge);
+    impatientNetwork("holder", loops, portOfEdge).start(HOST, portOfHolder, holder);
+    edgeNetwork.send("holder", new KeepStreams(List.of(1L)));
+    await().atMost(PATIENCE).until(() -> holder.received.get() == 1);
+    // The first message on the link waited for it; the next one is written and not answered.
+    edgeNetwork.send("holder", new KeepStreams(List.of(2L)));
+    await().pollDelay(SILENCE.multipliedBy(2)).atMost(PATIENCE).until(() -> true);
+    edgeNetwork.send("holder", new KeepStreams(List.of(3L)));
+    await().atMost(PATIENCE).until(() -> edge.lost.get() == 1);
+    await().atMost(PATIENCE).until(() -> holder.received.get() == 3);
+    loops.dispose();
+  }
+
   @DataProvider
   public Object[][] messagesWithoutAnswer() {
     TermPosition place = new TermPosition(1, 1);
--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -316,31 +316,33 @@
       unansweredSinceNanos = 0;
     }
 
-    /** Drops a link on which the peer was written to and has been silent for long. */
-    private void dropWhenStuck(boolean expectsAnswer) {
+    /** Whether the peer was written to on the link and has been silent for long. */
+    private boolean isStuck(boolean expectsAnswer) {
       long now = System.nanoTime();
       if (unansweredSinceNanos == 0) {
         unansweredSinceNanos = expectsAnswer ? now : 0;
-      } else if (now - unansweredSinceNanos > silence.toNanos()) {
-        LOG.info("link to {} is silent; opens another", peer);
-        unansweredSinceNanos = now;
-        channel.close();
+        return false;
+      }
+      if (now - unansweredSinceNanos <= silence.toNanos()) {
+        return false;
       }
+      LOG.info("link to {} is silent; opens another", peer);
+      unansweredSinceNanos = now;
+      return true;
     }
 
     synchronized void send(Outgoing message) {
-      if (channel != null && channel.isActive()) {
-        dropWhenStuck(message.expectsAnswer());
+      if (channel != null && (!channel.isActive() || isStuck(message.expectsAnswer()))) {
+        Channel broken = channel;
+        ended();
+        broken.close();
+        // lost() does not tell it again.
+        handler.linkLost(peer);
       }
-      if (channel != null && channel.isActive()) {
+      if (channel != null) {
         write(message);
         return;
       }
-      if (channel != null) {
-        // lost() does not tell it again.
-        ended();
-        handler.linkLost(peer);
-      }
       if (waiting.size() >= MAX_WAITING) {
         tellUndelivered(List.of(message), "too many messages wait for the dial");
         return;
