Gateways: an edge is told of the streams that end with a link

Cause: a gateway that hears late that a link to an edge broke gave up all streams of that edge without a word, also those that the edge had opened since on another link. Change: the edge gets Broken for each of them. For streams that it has given up itself this says nothing new.

--- a/server/src/main/java/org/streamcourse/request/gateway/GatewayNode.java
+++ b/server/src/main/java/org/streamcourse/request/gateway/GatewayNode.java
@@ -16,6 +16,7 @@
 import org.streamcourse.connection.peer.PeerNetwork;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.StreamMessage.AwaitReceived;
+import org.streamcourse.request.StreamMessage.Broken;
 import org.streamcourse.request.StreamMessage.CancelUnit;
 import org.streamcourse.request.StreamMessage.CloseStream;
 import org.streamcourse.request.StreamMessage.Credit;
@@ -380,7 +381,16 @@
    * @param peer the edge
    */
   public void linkLost(String peer) {
-    streams.values().stream().filter(each -> each.peer().equals(peer)).forEach(this::abandon);
+    streams.values().stream()
+        .filter(each -> each.peer().equals(peer))
+        .forEach(each -> each.worker().execute(() -> breakOff(each)));
+  }
+
+  /** The edge may have heard of the link's end before it opened the stream on another. */
+  private void breakOff(GatewayStream stream) {
+    String detail = "link to " + stream.peer() + " broke";
+    network.send(stream.peer(), new Broken(stream.id(), "link", detail));
+    stream.abandon();
   }
 
   private void abandon(GatewayStream stream) {
--- a/server/src/test/java/org/streamcourse/request/gateway/GatewayStreamTest.java
+++ b/server/src/test/java/org/streamcourse/request/gateway/GatewayStreamTest.java
@@ -161,4 +161,18 @@
     open(3, "UPDATE third");
     assertEquals(sessionWith("UPDATE third").sent().size(), 2, "it runs on a pooled connection");
   }
+
+  /**
+   * The gateway may hear late that a link to the edge broke, after the edge has heard it and opened
+   * the next stream. The edge can't know that the stream was given up unless it is told.
+   */
+  @Test
+  public void anEdgeIsToldOfAStreamThatIsGivenUpForTheEndOfALink() {
+    open(1, "INSERT late word");
+    gateways.linkLost(EDGE);
+    settle();
+    assertEquals(gateways.openStreams(), 0);
+    assertTrue(
+        toEdge.stream().anyMatch(each -> each instanceof Broken), "told to the edge: " + toEdge);
+  }
 }
