Streams: an answer that misses a part is not passed off as whole

Cause: the parts of an answer are messages of their own. One that is dropped for want of a link was followed by others on the next link, and nothing counted them. Writes are held until whole, so reads were at risk. Change: parts are numbered, and the end of a unit tells the last one's number; an edge that misses one breaks the stream. Links speak version 6.

--- a/lab/src/test/java/org/streamcourse/lab/simulation/UnsafeTwinTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/UnsafeTwinTest.java
@@ -219,7 +219,7 @@
 
   private static Object withoutRows(Object message) {
     return message instanceof Output output && output.streamId() % 20 == 0
-        ? new Output(output.streamId(), Backend.commandComplete("SELECT 9"))
+        ? new Output(output.streamId(), output.number(), Backend.commandComplete("SELECT 9"))
         : message;
   }
 
--- a/server/src/main/java/org/streamcourse/connection/peer/LinkMessage.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/LinkMessage.java
@@ -5,7 +5,7 @@
 /** Messages of the links themselves. */
 public sealed interface LinkMessage {
   /** Version of the messages between processes; a link between different ones is refused. */
-  int PROTOCOL_VERSION = 5;
+  int PROTOCOL_VERSION = 6;
 
   /**
    * First message on a link.
--- a/server/src/main/java/org/streamcourse/request/StreamMessage.java
+++ b/server/src/main/java/org/streamcourse/request/StreamMessage.java
@@ -105,9 +105,11 @@
    * Part of an answer: whole messages of the member.
    *
    * @param streamId the stream
+   * @param number 1 for the stream's first part; a gap shows that one was lost
    * @param messages the messages
    */
-  record Output(long streamId, byte[] messages) implements StreamMessage, OneWayMessage {}
+  record Output(long streamId, int number, byte[] messages)
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit's answer is complete, up to but without ReadyForQuery.
@@ -118,9 +120,10 @@
    *     place of the member when the unit ended
    * @param committed whether the unit committed a write
    * @param open whether the stream stays open
+   * @param parts number of the stream's last {@link Output} so far, 0 for none
    */
   record UnitDone(
-      long streamId, char status, TermPosition position, boolean committed, boolean open)
+      long streamId, char status, TermPosition position, boolean committed, boolean open, int parts)
       implements StreamMessage, OneWayMessage {}
 
   /** Why a gateway did not run a unit. */
--- a/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
+++ b/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
@@ -52,6 +52,7 @@
   private boolean active;
   private boolean pinned;
   private boolean outputSeen;
+  private final AnswerParts parts = new AnswerParts();
 
   /** When to come back, as told by an overloaded gateway; 0 while none was. */
   private long overloadRetryMillis;
@@ -198,6 +199,7 @@
     current = targets.get(nextTarget);
     nextTarget++;
     streamId = edge.openStream(this);
+    parts.begin();
     attemptStartedAt = now();
     lastHeardMillis = attemptStartedAt;
     openedInTerm = group.get().term();
@@ -330,7 +332,9 @@
       return;
     }
     lastHeardMillis = now();
-    if (message instanceof Output output) {
+    if (parts.missOneBefore(message)) {
+      onBroken("link", "a part of the answer is missing");
+    } else if (message instanceof Output output) {
       outputSeen = true;
       listener.output(output.messages());
     } else if (message instanceof UnitDone done) {
--- a/server/src/main/java/org/streamcourse/request/gateway/StreamReplies.java
+++ b/server/src/main/java/org/streamcourse/request/gateway/StreamReplies.java
@@ -14,6 +14,7 @@
   private final String edge;
   private final long streamId;
   private int window;
+  private int parts;
   private boolean silent;
 
   StreamReplies(PeerNetwork network, String edge, long streamId, int window) {
@@ -29,7 +30,8 @@
   }
 
   void output(byte[] messages) {
-    network.send(edge, new Output(streamId, messages));
+    parts++;
+    network.send(edge, new Output(streamId, parts, messages));
     window -= messages.length;
   }
 
@@ -43,7 +45,7 @@
   }
 
   void done(char status, TermPosition position, boolean committed, boolean staysOpen) {
-    network.send(edge, new UnitDone(streamId, status, position, committed, staysOpen));
+    network.send(edge, new UnitDone(streamId, status, position, committed, staysOpen, parts));
   }
 
   void refused(Refusal refusal, TermPosition applied, long retryAfterMillis) {
