--- a/server/src/main/java/org/streamcourse/request/StreamMessage.java
+++ b/server/src/main/java/org/streamcourse/request/StreamMessage.java
@@ -1,6 +1,7 @@
 package org.streamcourse.request;
 
 import java.util.List;
+import org.streamcourse.connection.peer.OneWayMessage;
 import org.streamcourse.version.control.MemberStatus;
 import org.streamcourse.version.image.TermPosition;
 
@@ -77,21 +78,21 @@
    * @param streamId the stream
    * @param bytes number of bytes that the caller has taken
    */
-  record Credit(long streamId, int bytes) implements StreamMessage {}
+  record Credit(long streamId, int bytes) implements StreamMessage, OneWayMessage {}
 
   /**
    * Ends a stream; an open transaction is rolled back.
    *
    * @param streamId the stream
    */
-  record CloseStream(long streamId) implements StreamMessage {}
+  record CloseStream(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks the member to cancel the running unit.
    *
    * @param streamId the stream
    */
-  record CancelUnit(long streamId) implements StreamMessage {}
+  record CancelUnit(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Shows that the edge still holds its open streams at this gateway.
@@ -104,9 +105,11 @@
    * Part of an answer: whole messages of the member.
    *
    * @param streamId the stream
+   * @param number 1 for the stream's first part; a gap shows that one was lost
    * @param messages the messages
    */
-  record Output(long streamId, byte[] messages) implements StreamMessage {}
+  record Output(long streamId, int number, byte[] messages)
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit's answer is complete, up to but without ReadyForQuery.
@@ -117,10 +120,11 @@
    *     place of the member when the unit ended
    * @param committed whether the unit committed a write
    * @param open whether the stream stays open
+   * @param parts number of the stream's last {@link Output} so far, 0 for none
    */
   record UnitDone(
-      long streamId, char status, TermPosition position, boolean committed, boolean open)
-      implements StreamMessage {}
+      long streamId, char status, TermPosition position, boolean committed, boolean open, int parts)
+      implements StreamMessage, OneWayMessage {}
 
   /** Why a gateway did not run a unit. */
   enum Refusal {
@@ -149,7 +153,7 @@
    * @param retryAfterMillis when it may be tried here again
    */
   record Refused(long streamId, Refusal refusal, TermPosition applied, long retryAfterMillis)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit was begun and its outcome is not known; the stream is closed.
@@ -158,7 +162,8 @@
    * @param step step at which it broke
    * @param detail what happened
    */
-  record Broken(long streamId, String step, String detail) implements StreamMessage {}
+  record Broken(long streamId, String step, String detail)
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a gateway to ask a member, now, where it stands.
@@ -178,7 +183,7 @@
    * @param status what it said
    */
   record PositionReply(long requestId, String member, boolean known, MemberStatus status)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a replica's gateway to tell when the replica has received a place under a term.
@@ -189,7 +194,7 @@
    * @param position place to wait for
    */
   record AwaitReceived(String group, String member, long term, TermPosition position)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * A replica has received a place under a term.
@@ -200,5 +205,5 @@
    * @param matched end of the matching part
    */
   record ReceivedReport(String group, String member, long term, TermPosition matched)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 }
