Links: a command that was not sent is told apart from one that was lost

A read at the primary begins a transaction, which takes no slot of the member; the read itself waits in its link for one. When the link ended then, MemberLink told `lost` to what waited as to what was sent. So the statement counted as an attempt and was answered FAILED (a write would be OUTCOME_UNKNOWN) although the member was never asked it. A holder told `Ended` for another node's read in the same state, and for one whose beginning alone was sent.

Ruled out: that the member may have run it. What waits was never handed to the channel (MemberLink.sendUntilOneWaits); a guarded read is queued only after its beginning was answered, or goes along with it through another node, where its loss stays a loss.

CommandListener.notSent; by default it is `lost`, so transactions and probes are as before. A statement that was not sent goes the way of one whose beginning was lost: another link, or another member. At a holder the stream begins anew on another link, 20 ms later, as long as the sender's longest wait lasts, and is refused after that; never once the sender was told an answer, sent a second message, or a caller's statement was sent.

--- a/server/src/main/java/org/streamcourse/connection/member/CommandListener.java
+++ b/server/src/main/java/org/streamcourse/connection/member/CommandListener.java
@@ -27,4 +27,13 @@
    * @param cause what happened
    */
   void lost(String cause);
+
+  /**
+   * The command was never handed to the connection, so the member was not asked it.
+   *
+   * @param cause what happened
+   */
+  default void notSent(String cause) {
+    lost(cause);
+  }
 }
--- a/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
+++ b/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
@@ -1,6 +1,5 @@
 package org.streamcourse.connection.member;
 
-import java.util.function.Consumer;
 import org.streamcourse.request.statement.Answer;
 
 /**
@@ -27,7 +26,7 @@
   }
 
   void begin() {
-    link.send(new MemberCommand.BeginTransaction(false, null), telling(this::begun));
+    link.send(new MemberCommand.BeginTransaction(false, null), new Beginning());
   }
 
   private void begun(Answer answer) {
@@ -41,7 +40,7 @@
 
   /** Sends the read; through another node it is sent at once, and run there only once begun. */
   void sendRead() {
-    link.send(read, telling(this::tell));
+    link.send(read, new Reading());
     link.rollBackNext();
   }
 
@@ -52,20 +51,50 @@
     }
   }
 
-  private CommandListener telling(Consumer<Answer> next) {
-    return new CommandListener() {
-      @Override
-      public void answered(Answer answer) {
-        next.accept(answer);
-      }
+  private void tellLost(String cause) {
+    if (!told) {
+      told = true;
+      listener.lost(cause);
+    }
+  }
 
-      @Override
-      public void lost(String cause) {
-        if (!told) {
-          told = true;
-          listener.lost(cause);
-        }
+  private void tellNotSent(String cause) {
+    if (!told) {
+      told = true;
+      listener.notSent(cause);
+    }
+  }
+
+  private final class Beginning implements CommandListener {
+    @Override
+    public void answered(Answer answer) {
+      begun(answer);
+    }
+
+    @Override
+    public void lost(String cause) {
+      if (link.isRelayed()) {
+        tellLost(cause);
+      } else {
+        tellNotSent(cause);
       }
-    };
+    }
+  }
+
+  private final class Reading implements CommandListener {
+    @Override
+    public void answered(Answer answer) {
+      tell(answer);
+    }
+
+    @Override
+    public void lost(String cause) {
+      tellLost(cause);
+    }
+
+    @Override
+    public void notSent(String cause) {
+      tellNotSent(cause);
+    }
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -201,7 +201,7 @@
    */
   public void run(MemberCommand command, CommandListener listener) {
     if (!isOpen()) {
-      listener.lost("the connection has ended");
+      listener.notSent("the connection has ended");
       return;
     }
     send(command, listener);
@@ -217,7 +217,7 @@
    */
   public void runGuarded(MemberCommand read, CommandListener listener) {
     if (!isOpen()) {
-      listener.lost("the connection has ended");
+      listener.notSent("the connection has ended");
       return;
     }
     GuardedRead guarded = new GuardedRead(this, read, listener);
@@ -338,7 +338,7 @@
     }
   }
 
-  /** Closes the link; commands without an answer are lost. */
+  /** Closes the link; commands without an answer are lost, or were not sent. */
   public void close() {
     close("closed by this node");
   }
@@ -436,6 +436,6 @@
     lost.stream().filter(each -> each.slot() != null).forEach(each -> slots.lost(each.slot()));
     owner.ended(this, null, cause);
     lost.forEach(each -> each.listener().lost(cause));
-    unsent.forEach(each -> each.listener().lost(cause));
+    unsent.forEach(each -> each.listener().notSent(cause));
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -20,6 +20,9 @@
  * other on it. A step that follows a failed one is not run.
  */
 final class RelayedWork implements LinkRequest {
+  /** Pause before work begins anew, so that work that ends its links ends only a few. */
+  private static final long ANEW_MILLIS = 20;
+
   private final RelayServer server;
   private final String sender;
   private final RelayMessage.Open open;
@@ -35,6 +38,12 @@
   private final RelayedFloor floor;
   private RelayMessage.Step lastStep;
 
+  /** Whether the sender has been told an answer, or the member answered a caller's statement. */
+  private boolean begun;
+
+  /** Time until which the work may wait for a connection, or begin on one anew. */
+  private final long untilMillis;
+
   RelayedWork(RelayServer server, String sender, RelayMessage.Open open, MemberLinks links) {
     this.server = server;
     this.sender = sender;
@@ -42,6 +51,7 @@
     this.links = links;
     this.values = open.values();
     this.lastMillis = server.now();
+    this.untilMillis = lastMillis + open.maxWaitMillis();
     this.floor = new RelayedFloor(open.floor(), links.knowledge(), server.now());
     steps.addAll(open.steps());
   }
@@ -113,7 +123,7 @@
 
   @Override
   public long maxWaitMillis() {
-    return open.maxWaitMillis();
+    return Math.max(1, untilMillis - server.now());
   }
 
   @Override
@@ -152,6 +162,7 @@
   // ---- steps ----
 
   void goOn(Map<String, String> changed, List<RelayMessage.Step> more) {
+    begun = true;
     values = changed == null ? values : changed;
     steps.addAll(more);
     lastMillis = server.now();
@@ -172,7 +183,12 @@
     working = true;
     lastStep = step;
     link.adopt(values);
-    link.run(command(step), new StepEnd());
+    link.run(command(step), new StepEnd(begun || !isBeginning(step)));
+  }
+
+  private static boolean isBeginning(RelayMessage.Step step) {
+    return step instanceof RelayMessage.Direct direct
+        && direct.command() instanceof MemberCommand.BeginTransaction;
   }
 
   private MemberCommand command(RelayMessage.Step step) {
@@ -184,7 +200,30 @@
     return ((RelayMessage.Direct) step).command();
   }
 
+  /** The member was asked no statement of a caller: the work begins anew while there is time. */
+  private void beginAnew(String cause) {
+    working = false;
+    steps.clear();
+    steps.addAll(open.steps());
+    answers.clear();
+    MemberLink given = link;
+    link = null;
+    links.releaseRolledBack(given);
+    if (server.now() + ANEW_MILLIS < untilMillis) {
+      server.later(ANEW_MILLIS, this::start);
+    } else {
+      refused(cause, links.estimatedWaitMillis());
+    }
+  }
+
   private final class StepEnd implements CommandListener {
+    /** Whether the work may have run once this step was sent. */
+    private final boolean begins;
+
+    StepEnd(boolean begins) {
+      this.begins = begins;
+    }
+
     @Override
     public void answered(Answer answer) {
       working = false;
@@ -198,6 +237,7 @@
         askAgainLater();
         return;
       }
+      begun |= begins;
       answers.add(answer);
       if (!answer.isComplete()) {
         finishing = steps.peekLast() instanceof RelayMessage.Finish;
@@ -228,15 +268,27 @@
     }
 
     private void tellAnswers() {
+      begun = true;
       server.send(
           sender,
           new RelayMessage.Answered(open.stream(), List.copyOf(answers), links.knowledge().news()));
       answers.clear();
     }
 
+    @Override
+    public void notSent(String cause) {
+      if (!ended && !begun) {
+        beginAnew(cause);
+      } else {
+        lost(cause);
+      }
+    }
+
     @Override
     public void lost(String cause) {
-      if (!ended) {
+      if (!ended && !begins) {
+        beginAnew(cause);
+      } else if (!ended) {
         server.endedUnanswered(sender, open, true, "the member was lost: " + cause);
         working = false;
         end();
--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -47,9 +47,9 @@
      * The link is gone, and with it the answer.
      *
      * @param cause what happened
-     * @param beginning whether only the beginning of a transaction was asked
+     * @param unsent whether the caller's statement has certainly not reached the member
      */
-    void lost(String cause, boolean beginning);
+    void lost(String cause, boolean unsent);
   }
 
   private final Worker worker;
@@ -211,6 +211,11 @@
     public void lost(String cause) {
       loseLink(cause, false);
     }
+
+    @Override
+    public void notSent(String cause) {
+      loseLink(cause, true);
+    }
   }
 
   /** Ends the call; returns whether somebody waits for its answer. */
@@ -220,14 +225,14 @@
     return awaited;
   }
 
-  private void loseLink(String cause, boolean beginning) {
+  private void loseLink(String cause, boolean unsent) {
     if (phase == Phase.DONE) {
       return;
     }
     boolean awaited = end();
     held.forget();
     if (awaited) {
-      listener.lost(cause, beginning);
+      listener.lost(cause, unsent);
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -370,9 +370,9 @@
     }
 
     @Override
-    public void lost(String cause, boolean beginning) {
+    public void lost(String cause, boolean unsent) {
       call = null;
-      if (beginning) {
+      if (unsent) {
         lostUnsent(cause);
       } else if (plan == StatementPlan.WRITE) {
         refuse(AnswerCode.OUTCOME_UNKNOWN, "the member was lost: " + cause, 0);
--- a/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
+++ b/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
@@ -42,6 +42,8 @@
   private final List<String> order = new ArrayList<>();
 
   private final List<String> refused = new ArrayList<>();
+  private final List<String> lost = new ArrayList<>();
+  private final List<String> notSent = new ArrayList<>();
 
   /** A connection to the member; all but statements are answered at once. */
   private final class Connection implements MemberChannel {
@@ -148,6 +150,13 @@
 
     @Override
     public void lost(String cause) {
+      lost.add(id);
+      links.release(link);
+    }
+
+    @Override
+    public void notSent(String cause) {
+      notSent.add(id);
       links.release(link);
     }
   }
@@ -157,6 +166,8 @@
     running.clear();
     order.clear();
     refused.clear();
+    lost.clear();
+    notSent.clear();
     clock = VirtualTimeScheduler.create();
     Worker worker = SchedulerWorker.onSchedulerClock(clock);
     MemberDialer dialer =
@@ -251,6 +262,20 @@
     assertEquals(links.slotsTaken(), 0);
   }
 
+  /** Guards against a write in doubt that was never handed to a connection. */
+  @Test
+  public void aCommandThatWaitsForASlotWhenItsLinkEndsIsToldAsNotSent() {
+    Unit transaction = start(new Unit("begin", "a", true));
+    Unit sent = start("s0", "b");
+    start("s1", "c");
+    transaction.run("inside");
+    transaction.link.close();
+    sent.link.close();
+    assertEquals(notSent, List.of("begin"));
+    assertEquals(lost, List.of("s0"));
+    assertEquals(order, List.of("s0", "s1"));
+  }
+
   @Test
   public void whoCanNotBeServedInTimeIsRefusedAtOnce() {
     for (int i = 0; i < 110; i++) {
--- a/server/src/test/java/org/streamcourse/request/routing/RelayFleet.java
+++ b/server/src/test/java/org/streamcourse/request/routing/RelayFleet.java
@@ -70,6 +70,16 @@
       start(id, new Statement.Read(), "READ x", StatementPlan.ANY_READ);
     }
 
+    /** A read that only the primary answers. */
+    void readAtPrimary(String id) {
+      start(id, new Statement.Read(), "READ x", StatementPlan.PRIMARY_READ);
+    }
+
+    /** Begins a transaction at the primary. */
+    void begin(String id) {
+      start(id, new Statement.Write(), "WRITE x y", StatementPlan.PRIMARY_TRANSACTION);
+    }
+
     void write(String id) {
       start(id, new Statement.Write(), "WRITE x y", StatementPlan.WRITE);
     }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -65,6 +66,9 @@
   final List<MemberLink> opened = new ArrayList<>();
   long workMillis = FIRST_WORK_MILLIS;
 
+  /** Time after which the beginning of a transaction is answered. */
+  long beginMillis = 1;
+
   /** Tenant of the connection over which each statement was run. */
   final Map<String, TenantId> ranFor = new TreeMap<>();
 
@@ -90,6 +94,7 @@
   TenantId tenant = new TenantId("t");
 
   private final Map<String, Integer> openConnections = new TreeMap<>();
+  private final Set<Channel> introducedChannels = new LinkedHashSet<>();
   private Map<String, Integer> mostConnections = Map.of();
 
   /** Whether members take no more connections, as after a loss of power of all nodes. */
@@ -121,6 +126,14 @@
     return !full || open < mostConnections.getOrDefault(member, 0);
   }
 
+  /** A member ends its connections, and runs what it was sent all the same. */
+  void breakConnections(String member) {
+    List<Channel> broken =
+        introducedChannels.stream().filter(each -> each.member.equals(member)).toList();
+    broken.forEach(Channel::close);
+    broken.forEach(each -> each.listener.closed("the connection was reset"));
+  }
+
   /** All members are gone. */
   void loseThePrimary() {
     table.update(withoutMembers());
@@ -278,11 +291,17 @@
     @Override
     public void send(MemberCommand command) {
       commands.computeIfAbsent(member, any -> new ArrayList<>()).add(command);
-      long work = command instanceof MemberCommand.Run ? workMillis : 1;
-      busyUntil = Math.max(worker.now(), busyUntil) + work;
+      busyUntil = Math.max(worker.now(), busyUntil) + workMillis(command);
       worker.schedule(busyUntil - worker.now(), () -> answer(command));
     }
 
+    private long workMillis(MemberCommand command) {
+      if (command instanceof MemberCommand.Run) {
+        return workMillis;
+      }
+      return command instanceof MemberCommand.BeginTransaction ? beginMillis : 1;
+    }
+
     private void answer(MemberCommand command) {
       if (closed) {
         return;
@@ -293,6 +312,7 @@
       }
       if (command instanceof MemberCommand.Introduce introduce) {
         introduced = true;
+        introducedChannels.add(this);
         openConnections.merge(member, 1, Integer::sum);
         tenant = introduce.tenant();
       }
@@ -345,6 +365,7 @@
     public void close() {
       if (introduced && !closed) {
         openConnections.merge(member, -1, Integer::sum);
+        introducedChannels.remove(this);
       }
       closed = true;
     }
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/request/routing/SlotWaitTest.java
@@ -0,0 +1,147 @@
+package org.streamcourse.request.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.stream.IntStream;
+import org.streamcourse.connection.member.MemberCommand;
+import org.streamcourse.connection.member.MemberLink;
+import org.streamcourse.request.statement.Answer;
+import org.streamcourse.request.statement.AnswerCode;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Reads at the primary that have a link, have begun there, and wait for one of the member's slots:
+ * they have not run.
+ */
+public class SlotWaitTest {
+  private static final int NODES = ScriptedService.CONNECTIONS + 5;
+  private static final long WAY_MILLIS = 5;
+  private static final int READS = ScriptedService.SLOTS + 3;
+
+  private RelayFleet fleet;
+  private ScriptedService service;
+
+  @BeforeMethod
+  public void startFleet() {
+    fleet = new RelayFleet(NODES, WAY_MILLIS);
+    service = fleet.service;
+  }
+
+  private RelayFleet.Node owner() {
+    return node(true);
+  }
+
+  private RelayFleet.Node asker() {
+    return node(false);
+  }
+
+  private RelayFleet.Node node(boolean holdsSlots) {
+    return fleet.nodes().stream()
+        .filter(node -> node.table.service("s").primary().holdsLinks() == holdsSlots)
+        .filter(node -> !holdsSlots || node.table.service("s").primary().links() > 1)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Opens the owner's links, so that all reads that follow have one at once. */
+  private void openLinks() {
+    for (int i = 0; i < READS; i++) {
+      asker().begin("t" + i);
+    }
+    service.pass(500);
+    assertEquals(service.opened.size(), READS);
+    service.opened.forEach(MemberLink::close);
+    service.pass(100);
+  }
+
+  private void readAtPrimary(RelayFleet.Node node) {
+    for (int i = 0; i < READS; i++) {
+      node.readAtPrimary("r" + i);
+    }
+  }
+
+  private long answers(AnswerCode code) {
+    return service.answers.stream().filter(answer -> answer.code() == code).count();
+  }
+
+  private long readsSent() {
+    return readsSent("");
+  }
+
+  /** Reads whose id holds a word. */
+  private long readsSent(String word) {
+    return service.commands.get(ScriptedService.PRIMARY).stream()
+        .filter(MemberCommand.Run.class::isInstance)
+        .map(MemberCommand.Run.class::cast)
+        .filter(run -> run.text().startsWith("READ") && run.id().value().contains(word))
+        .count();
+  }
+
+  /** Guards against FAILED for a read that was not sent when the links of its holder ended. */
+  @Test
+  public void aReadFailsOnlyAfterItWasSentAsOftenAsItsRouteAllows() {
+    openLinks();
+    readWhileLinksEnd(asker());
+    assertOnlyReadsThatWereSentFail();
+  }
+
+  /** Guards against FAILED for a read of the holder's own that was not sent. */
+  @Test
+  public void aReadOfTheHoldersOwnFailsOnlyAfterItWasSentAsOftenAsItsRouteAllows() {
+    openLinks();
+    readWhileLinksEnd(owner());
+    assertOnlyReadsThatWereSentFail();
+  }
+
+  private void readWhileLinksEnd(RelayFleet.Node node) {
+    service.workMillis = 100;
+    readAtPrimary(node);
+    for (int i = 0; i < 3; i++) {
+      service.pass(60);
+      service.breakConnections(ScriptedService.PRIMARY);
+    }
+    service.pass(ScriptedService.TARGET_MILLIS);
+  }
+
+  private void assertOnlyReadsThatWereSentFail() {
+    assertEquals(service.answers.size(), READS, told());
+    long failed = answers(AnswerCode.FAILED);
+    assertEquals(service.completed() + failed, READS, told());
+    long sentTwice =
+        IntStream.range(0, READS)
+            .mapToObj(number -> "r" + number)
+            .filter(id -> service.completed(id) == 0 && readsSent(id) >= 2)
+            .count();
+    assertEquals(failed, sentTwice, told());
+  }
+
+  private String told() {
+    return service.answers.stream().map(Answer::toString).toList().toString();
+  }
+
+  /** Guards against a broken rule: "has not run" of a read that was sent. */
+  @Test
+  public void aReadThatWasSentAndIsNotAnsweredMayHaveRun() {
+    openLinks();
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    asker().readAtPrimary("r");
+    owner().readAtPrimary("s");
+    service.pass(ScriptedService.TARGET_MILLIS);
+    assertEquals(readsSent(), 2);
+    assertEquals(answers(AnswerCode.TIMEOUT), 2, told());
+  }
+
+  /** Guards against a broken rule: a write that was sent is not said not to have run. */
+  @Test
+  public void aWriteThatWasSentWhenTheLinkEndedIsInDoubt() {
+    openLinks();
+    service.workMillis = 100;
+    asker().write("w");
+    owner().write("v");
+    service.pass(50);
+    service.breakConnections(ScriptedService.PRIMARY);
+    service.pass(700);
+    assertEquals(answers(AnswerCode.OUTCOME_UNKNOWN), 2, told());
+  }
+}
