Links: a wait for a slot in a granted link ends with the longest wait

A link is granted to a read at the primary while the member has a free slot, but the read's transaction begins first and takes none, so more links than slots are granted. The reads then waited for a slot without a limit of their own.

Ruled out: the queue for links, which refuses at the longest wait.

A command has a time until which it may wait for a slot: the end of the request's longest wait. It is left out of the link after that, what is behind it (the rollback) goes on, and the link is kept. A read at the primary is then refused with a time to come back, one at another member is tried elsewhere; a holder refuses the stream, since the member was asked nothing but to begin. Statements of a transaction that is open wait as before, bounded by their route's time-out. A use that got no slot is left out of the average of what work takes, which decides who is refused at once.

--- a/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
+++ b/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
@@ -10,6 +10,7 @@
   private final MemberLink link;
   private final MemberCommand read;
   private final CommandListener listener;
+  private final long untilMillis;
   private boolean told;
 
   /**
@@ -18,11 +19,13 @@
    * @param link link on which it runs
    * @param read the read
    * @param listener hears one end: the answer to the read, or to the beginning when that failed
+   * @param untilMillis time until which the read may wait for a slot
    */
-  GuardedRead(MemberLink link, MemberCommand read, CommandListener listener) {
+  GuardedRead(MemberLink link, MemberCommand read, CommandListener listener, long untilMillis) {
     this.link = link;
     this.read = read;
     this.listener = listener;
+    this.untilMillis = untilMillis;
   }
 
   void begin() {
@@ -40,7 +43,7 @@
 
   /** Sends the read; through another node it is sent at once, and run there only once begun. */
   void sendRead() {
-    link.send(read, new Reading());
+    link.send(read, new Reading(), untilMillis);
     link.rollBackNext();
   }
 
--- a/server/src/main/java/org/streamcourse/connection/member/LinkDispatcher.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkDispatcher.java
@@ -104,7 +104,13 @@
     LinksInUse.Use use = pool.inUse().remove(link);
     if (use != null && !link.isRelayed()) {
       holdTimes.add(worker.now() - use.sinceMillis());
-      units.add(use.priority(), link.takeSlotMillis());
+      addUnit(use.priority(), link.takeSlotMillis());
+    }
+  }
+
+  private void addUnit(int priority, long slotMillis) {
+    if (slotMillis != MemberLink.NO_SLOT) {
+      units.add(priority, slotMillis);
     }
   }
 
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -26,6 +26,12 @@
   private static final int MAX_PREPARED = 256;
   private static final String PREPARED_PREFIX = "p";
 
+  /** A command waits for a slot until it gets one or the link ends. */
+  private static final long UNTIL_SENT = Long.MAX_VALUE;
+
+  /** Slot time of a use whose command got none, which tells nothing of the work. */
+  static final long NO_SLOT = -1;
+
   /** Hears what concerns the whole link. */
   interface Owner {
     /** The member has accepted the link. */
@@ -200,11 +206,22 @@
    * @param listener hears its end, once
    */
   public void run(MemberCommand command, CommandListener listener) {
+    run(command, listener, UNTIL_SENT);
+  }
+
+  /**
+   * Sends a command after those that prepare for it, unless the member has no slot for it in time.
+   *
+   * @param command what to send
+   * @param listener hears its end, once
+   * @param untilMillis time until which it may wait for a slot; the link can be used on after that
+   */
+  public void run(MemberCommand command, CommandListener listener, long untilMillis) {
     if (!isOpen()) {
       listener.notSent("the connection has ended");
       return;
     }
-    send(command, listener);
+    send(command, listener, untilMillis);
     channel.flush();
   }
 
@@ -214,13 +231,14 @@
    *
    * @param read what to send within the transaction
    * @param listener hears the answer to the read, or to the beginning when that failed
+   * @param untilMillis time until which the read may wait for a slot
    */
-  public void runGuarded(MemberCommand read, CommandListener listener) {
+  public void runGuarded(MemberCommand read, CommandListener listener, long untilMillis) {
     if (!isOpen()) {
       listener.notSent("the connection has ended");
       return;
     }
-    GuardedRead guarded = new GuardedRead(this, read, listener);
+    GuardedRead guarded = new GuardedRead(this, read, listener, untilMillis);
     guarded.begin();
     if (relayed) {
       guarded.sendRead();
@@ -273,8 +291,31 @@
 
   /** Sends a command behind the others; it waits while the member has no slot for it. */
   void send(MemberCommand command, CommandListener listener) {
-    waiting.addLast(new Waiting(command, listener));
+    send(command, listener, UNTIL_SENT);
+  }
+
+  void send(MemberCommand command, CommandListener listener, long untilMillis) {
+    Waiting added = new Waiting(command, listener);
+    waiting.addLast(added);
     sendUntilOneWaits();
+    if (!waiting.isEmpty() && untilMillis != UNTIL_SENT) {
+      worker.schedule(Math.max(0, untilMillis - worker.now()), () -> endWait(added));
+    }
+  }
+
+  /** Leaves a command out that still waits for a slot; what was sent behind it goes on. */
+  private void endWait(Waiting late) {
+    if (!waiting.remove(late)) {
+      return;
+    }
+    slots.forget(this);
+    slotMillis = NO_SLOT;
+    sendWaiting();
+    if (state == SessionState.IDLE && !outstanding.isEmpty()) {
+      // It is given back at once, and an answer that comes later is not the next session's.
+      close("no slot of the member became free in time");
+    }
+    late.listener().notSent("no slot of the member became free in time");
   }
 
   /** A slot is free for the first command that waits. */
@@ -315,7 +356,7 @@
     return true;
   }
 
-  /** Time for which its commands took slots since this was last asked, in milliseconds. */
+  /** Time for which its commands took slots since this was last asked, or {@link #NO_SLOT}. */
   long takeSlotMillis() {
     long taken = slotMillis;
     slotMillis = 0;
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -183,7 +183,12 @@
     working = true;
     lastStep = step;
     link.adopt(values);
-    link.run(command(step), new StepEnd(begun || !isBeginning(step)));
+    StepEnd end = new StepEnd(begun || !isBeginning(step));
+    if (begun) {
+      link.run(command(step), end);
+    } else {
+      link.run(command(step), end, untilMillis);
+    }
   }
 
   private static boolean isBeginning(RelayMessage.Step step) {
--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -50,6 +50,13 @@
      * @param unsent whether the caller's statement has certainly not reached the member
      */
     void lost(String cause, boolean unsent);
+
+    /**
+     * The member had no slot for the statement in time, so it was not sent.
+     *
+     * @param cause what happened
+     */
+    void noSlot(String cause);
   }
 
   private final Worker worker;
@@ -100,8 +107,13 @@
     return floor;
   }
 
-  /** Sends the statement over a link. */
-  void send(MemberLink granted) {
+  /**
+   * Sends the statement over a link.
+   *
+   * @param granted the link
+   * @param untilMillis time until which it may wait for one of the member's slots
+   */
+  void send(MemberLink granted, long untilMillis) {
     held.hold(links, granted);
     MemberLink link = granted;
     link.adopt(context.values());
@@ -109,9 +121,11 @@
         plan == StatementPlan.PRIMARY_TRANSACTION || plan == StatementPlan.ANY_TRANSACTION;
     phase = begins ? Phase.BEGINNING : Phase.RUNNING;
     switch (plan) {
-      case ANY_READ -> link.run(context.command(link, floor.position()), new SingleAnswer());
-      case WRITE -> link.run(context.command(link, null), new SingleAnswer());
-      case PRIMARY_READ -> link.runGuarded(context.command(link, null), new SingleAnswer());
+      case ANY_READ ->
+          link.run(context.command(link, floor.position()), new SingleAnswer(), untilMillis);
+      case WRITE -> link.run(context.command(link, null), new SingleAnswer(), untilMillis);
+      case PRIMARY_READ ->
+          link.runGuarded(context.command(link, null), new SingleAnswer(), untilMillis);
       case PRIMARY_TRANSACTION ->
           link.run(new MemberCommand.BeginTransaction(false, null), new Begun());
       case ANY_TRANSACTION ->
@@ -119,18 +133,17 @@
     }
   }
 
-  boolean isBeginning() {
-    return phase == Phase.BEGINNING;
-  }
-
   /** Whether the member owes an answer that somebody waits for. */
   boolean awaitsAnswer() {
     return phase == Phase.BEGINNING || phase == Phase.RUNNING;
   }
 
-  /** Whether the member may have run what was sent. */
-  boolean mayHaveRun() {
-    return held.get().mayHaveRun();
+  /** Why the caller's statement has certainly not run, or null when it may have. */
+  String whyNotSent() {
+    if (phase == Phase.BEGINNING) {
+      return "the member did not begin in time";
+    }
+    return held.get().mayHaveRun() ? null : "no holder of connections spoke in time";
   }
 
   /** Nobody waits for the answer any more; the link goes back once it has come. */
@@ -214,7 +227,15 @@
 
     @Override
     public void notSent(String cause) {
-      loseLink(cause, true);
+      if (phase == Phase.DONE || !held.get().isOpen()) {
+        loseLink(cause, true);
+        return;
+      }
+      boolean awaited = end();
+      held.release();
+      if (awaited) {
+        listener.noSlot(cause);
+      }
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -290,7 +290,7 @@
 
     @Override
     public long maxWaitMillis() {
-      return Math.max(1, Math.min(times.longestWaitMillis(), times.remainingMillis(worker.now())));
+      return Math.max(1, times.waitsUntilMillis(worker.now()) - worker.now());
     }
 
     @Override
@@ -311,7 +311,7 @@
       }
       log.observer().waitedForLink(times.waitedMillis(worker.now()));
       call = new MemberCall(worker, log, context, plan, members, links, floor(), new CallEnd());
-      call.send(granted);
+      call.send(granted, times.waitsUntilMillis(sinceMillis));
       if (!plan.needsPrimary() && awaitsAnswer()) {
         listener.sent(links.member().id());
       }
@@ -334,14 +334,10 @@
 
   /** The member has no room: a read goes elsewhere, what needs the primary is given up. */
   private void noLink(String cause, long retryAfterMillis) {
-    lastCause = cause;
-    search.leaveOut(links.member().id());
-    if (!plan.needsPrimary()) {
-      attempt();
-    } else if (links.isUsableAsPrimary()) {
+    if (plan.needsPrimary() && links.isUsableAsPrimary()) {
       refuse(AnswerCode.BUSY, cause, retryAfterMillis);
     } else {
-      waitForChange(cause);
+      lostUnsent(cause);
     }
   }
 
@@ -381,6 +377,12 @@
         readAgain(AnswerCode.FAILED, "the member was lost: " + cause);
       }
     }
+
+    @Override
+    public void noSlot(String cause) {
+      call = null;
+      noLink(cause, Math.max(RETRY_AFTER_MILLIS, links.estimatedWaitMillis()));
+    }
   }
 
   // ---- failures ----
@@ -462,19 +464,16 @@
       cancel();
     } else if (call == null) {
       refuse(AnswerCode.BUSY, lastCause, RETRY_AFTER_MILLIS);
-    } else if (call.isBeginning()) {
-      call.drop();
-      refuse(AnswerCode.BUSY, "the member did not begin in time", RETRY_AFTER_MILLIS);
     } else {
       runsTooLong();
     }
   }
 
   private void runsTooLong() {
-    boolean asked = call.mayHaveRun();
+    String notSent = call.whyNotSent();
     call.drop();
-    if (!asked) {
-      refuse(AnswerCode.BUSY, "no holder of connections spoke in time", RETRY_AFTER_MILLIS);
+    if (notSent != null) {
+      refuse(AnswerCode.BUSY, notSent, RETRY_AFTER_MILLIS);
       return;
     }
     AnswerCode code = plan == StatementPlan.WRITE ? AnswerCode.OUTCOME_UNKNOWN : AnswerCode.TIMEOUT;
--- a/server/src/main/java/org/streamcourse/request/routing/StatementTimes.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementTimes.java
@@ -25,6 +25,11 @@
     return Math.round(route.targetLatencyMillis() * WAIT_SHARE);
   }
 
+  /** Time until which a wait for one connection, and for a slot on it, lasts that begins now. */
+  long waitsUntilMillis(long now) {
+    return Math.min(now + longestWaitMillis(), deadlineMillis());
+  }
+
   /** Time until it is given up, in milliseconds. */
   long remainingMillis(long now) {
     return deadlineMillis() - now;
--- a/server/src/test/java/org/streamcourse/request/routing/SlotWaitTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/SlotWaitTest.java
@@ -1,7 +1,9 @@
 package org.streamcourse.request.routing;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.stream.IntStream;
 import org.streamcourse.connection.member.MemberCommand;
 import org.streamcourse.connection.member.MemberLink;
@@ -120,6 +122,37 @@
     return service.answers.stream().map(Answer::toString).toList().toString();
   }
 
+  /** Guards against TIMEOUT, at its end, for a read of another node that was not sent. */
+  @Test
+  public void aReadThatGetsNoSlotAtItsHolderIsRefusedAfterItsLongestWait() {
+    openLinks();
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    readAtPrimary(asker());
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 4 * WAY_MILLIS);
+    assertRefused();
+  }
+
+  /** Guards against an answer only at the end of its time for a read that was not sent. */
+  @Test
+  public void aReadThatGetsNoSlotIsRefusedAfterItsLongestWait() {
+    openLinks();
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    readAtPrimary(owner());
+    service.pass(ScriptedService.TARGET_MILLIS / 2 + 4 * WAY_MILLIS);
+    assertRefused();
+  }
+
+  private void assertRefused() {
+    List<Answer> answers = service.answers;
+    assertEquals(answers(AnswerCode.BUSY), READS - ScriptedService.SLOTS, told());
+    assertEquals(answers.size(), READS - ScriptedService.SLOTS, told());
+    assertTrue(
+        answers.stream().allMatch(answer -> answer.text().contains("retry-after-ms")), told());
+    service.pass(20 * ScriptedService.TARGET_MILLIS);
+    assertEquals(readsSent(), ScriptedService.SLOTS, "what was refused does not run later");
+    assertEquals(owner().table.service("s").primary().used(), 0, "links are back");
+  }
+
   /** Guards against a broken rule: "has not run" of a read that was sent. */
   @Test
   public void aReadThatWasSentAndIsNotAnsweredMayHaveRun() {
