Links: a guarded read whose beginning is not answered has not run

At its time-out a read at the primary asked the link whether the member may have run what was sent last. With only the beginning of its transaction sent, that said yes, so the read was answered TIMEOUT although it is sent only once the beginning was answered.

Ruled out: through another node read and beginning go together, so such a read is not said to be unsent there.

MemberLink.mayHaveRun looks at what a guarded read has sent; the read is then refused with a time to come back, like the beginning of a transaction.

--- a/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
+++ b/server/src/main/java/org/streamcourse/connection/member/GuardedRead.java
@@ -11,6 +11,7 @@
   private final MemberCommand read;
   private final CommandListener listener;
   private final long untilMillis;
+  private boolean readSent;
   private boolean told;
 
   /**
@@ -43,10 +44,16 @@
 
   /** Sends the read; through another node it is sent at once, and run there only once begun. */
   void sendRead() {
+    readSent = true;
     link.send(read, new Reading(), untilMillis);
     link.rollBackNext();
   }
 
+  /** Whether the read was handed to the link, rather than its beginning alone. */
+  boolean isReadSent() {
+    return readSent;
+  }
+
   private void tell(Answer answer) {
     if (!told) {
       told = true;
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -67,6 +67,10 @@
   private boolean ended;
   private boolean rollingBack;
   private long slotMillis;
+
+  /** The read that was begun last, or null when a command followed it. */
+  private GuardedRead guarded;
+
   private Runnable rolledBack = () -> {};
 
   MemberLink(
@@ -127,7 +131,7 @@
    *
    * @return false for a connection of this node
    */
-  boolean isRelayed() {
+  public boolean isRelayed() {
     return relayed;
   }
 
@@ -221,6 +225,7 @@
       listener.notSent("the connection has ended");
       return;
     }
+    guarded = null;
     send(command, listener, untilMillis);
     channel.flush();
   }
@@ -238,7 +243,7 @@
       listener.notSent("the connection has ended");
       return;
     }
-    GuardedRead guarded = new GuardedRead(this, read, listener, untilMillis);
+    guarded = new GuardedRead(this, read, listener, untilMillis);
     guarded.begin();
     if (relayed) {
       guarded.sendRead();
@@ -364,12 +369,14 @@
   }
 
   /**
-   * Tells whether the member may have run what was sent last.
+   * Tells whether the member may have run what was sent last; the beginning of a guarded read is
+   * not the read.
    *
    * @return false while it has certainly not arrived there
    */
   public boolean mayHaveRun() {
-    return channel != null && waiting.isEmpty() && channel.mayHaveRun();
+    boolean handedOver = waiting.isEmpty() && (guarded == null || guarded.isReadSent());
+    return handedOver && channel != null && channel.mayHaveRun();
   }
 
   /** Tells that nobody waits for the answers any more; they still have to be heard. */
--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -143,7 +143,12 @@
     if (phase == Phase.BEGINNING) {
       return "the member did not begin in time";
     }
-    return held.get().mayHaveRun() ? null : "no holder of connections spoke in time";
+    if (held.get().mayHaveRun()) {
+      return null;
+    }
+    return held.get().isRelayed()
+        ? "no holder of connections spoke in time"
+        : "the member did not begin in time";
   }
 
   /** Nobody waits for the answer any more; the link goes back once it has come. */
--- a/server/src/test/java/org/streamcourse/request/routing/SlotWaitTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/SlotWaitTest.java
@@ -153,6 +153,18 @@
     assertEquals(owner().table.service("s").primary().used(), 0, "links are back");
   }
 
+  /** Guards against TIMEOUT for a read whose transaction did not begin in time. */
+  @Test
+  public void aReadWhoseTransactionDidNotBeginHasNotRun() {
+    openLinks();
+    service.beginMillis = 5 * ScriptedService.TARGET_MILLIS;
+    owner().readAtPrimary("r");
+    service.pass(ScriptedService.TARGET_MILLIS);
+    assertEquals(readsSent(), 0);
+    assertEquals(service.answers.size(), 1);
+    assertEquals(answers(AnswerCode.BUSY), 1, told());
+  }
+
   /** Guards against a broken rule: "has not run" of a read that was sent. */
   @Test
   public void aReadThatWasSentAndIsNotAnsweredMayHaveRun() {
