--- a/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/StatementRelayTest.java
@@ -149,9 +149,11 @@
   }
 
   private void write(String id) {
-    StatementRequest request =
-        new StatementRequest(new StatementId(id), "WRITE x y", new Statement.Write());
-    service.start(origin.table, request, StatementPlan.WRITE);
+    service.start(origin.table, writeRequest(id), StatementPlan.WRITE);
+  }
+
+  private static StatementRequest writeRequest(String id) {
+    return new StatementRequest(new StatementId(id), "WRITE x y", new Statement.Write());
   }
 
   private long writesRun() {
@@ -400,6 +402,26 @@
     assertTrue(toldByHolders() >= refused, toldByHolders() + " refusals are told by holders");
   }
 
+  /** Guards against a write in doubt that its holder refused when its time was just over. */
+  @Test
+  public void aHoldersRefusalComesBeforeTheTimeOfALateStatementIsOver() {
+    service.workMillis = 5 * ScriptedService.TARGET_MILLIS;
+    origin.table.update(ScriptedService.image(NODES).apply(withoutMembers()));
+    write("late");
+    service.pass(300);
+    Node other = nodes.get(firstHolder(ScriptedService.PRIMARY));
+    for (int i = 0; i < ScriptedService.SLOTS; i++) {
+      service.start(other.table, writeRequest("f" + i), StatementPlan.WRITE);
+    }
+    service.pass(200);
+    origin.table.update(ScriptedService.image(NODES));
+    service.pass(290);
+    assertEquals(writesRun(), ScriptedService.SLOTS);
+    long refused =
+        service.answers.stream().filter(answer -> answer.code() == AnswerCode.BUSY).count();
+    assertEquals(refused, 1, service.answers.toString());
+  }
+
   private long toldByHolders() {
     return nodes.values().stream().mapToLong(node -> node.log.refusedForOthers()).sum();
   }
