--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -47,9 +47,16 @@
      * The link is gone, and with it the answer.
      *
      * @param cause what happened
-     * @param beginning whether only the beginning of a transaction was asked
+     * @param unsent whether the caller's statement has certainly not reached the member
+     */
+    void lost(String cause, boolean unsent);
+
+    /**
+     * The member had no slot for the statement in time, so it was not sent.
+     *
+     * @param cause what happened
      */
-    void lost(String cause, boolean beginning);
+    void noSlot(String cause);
   }
 
   private final Worker worker;
@@ -100,8 +107,13 @@
     return floor;
   }
 
-  /** Sends the statement over a link. */
-  void send(MemberLink granted) {
+  /**
+   * Sends the statement over a link.
+   *
+   * @param granted the link
+   * @param untilMillis time until which it may wait for one of the member's slots
+   */
+  void send(MemberLink granted, long untilMillis) {
     held.hold(links, granted);
     MemberLink link = granted;
     link.adopt(context.values());
@@ -109,9 +121,11 @@
         plan == StatementPlan.PRIMARY_TRANSACTION || plan == StatementPlan.ANY_TRANSACTION;
     phase = begins ? Phase.BEGINNING : Phase.RUNNING;
     switch (plan) {
-      case ANY_READ -> link.run(context.command(link, floor.position()), new SingleAnswer());
-      case WRITE -> link.run(context.command(link, null), new SingleAnswer());
-      case PRIMARY_READ -> link.runGuarded(context.command(link, null), new SingleAnswer());
+      case ANY_READ ->
+          link.run(context.command(link, floor.position()), new SingleAnswer(), untilMillis);
+      case WRITE -> link.run(context.command(link, null), new SingleAnswer(), untilMillis);
+      case PRIMARY_READ ->
+          link.runGuarded(context.command(link, null), new SingleAnswer(), untilMillis);
       case PRIMARY_TRANSACTION ->
           link.run(new MemberCommand.BeginTransaction(false, null), new Begun());
       case ANY_TRANSACTION ->
@@ -119,18 +133,22 @@
     }
   }
 
-  boolean isBeginning() {
-    return phase == Phase.BEGINNING;
-  }
-
   /** Whether the member owes an answer that somebody waits for. */
   boolean awaitsAnswer() {
     return phase == Phase.BEGINNING || phase == Phase.RUNNING;
   }
 
-  /** Whether the member may have run what was sent. */
-  boolean mayHaveRun() {
-    return held.get().mayHaveRun();
+  /** Why the caller's statement has certainly not run, or null when it may have. */
+  String whyNotSent() {
+    if (phase == Phase.BEGINNING) {
+      return "the member did not begin in time";
+    }
+    if (held.get().mayHaveRun()) {
+      return null;
+    }
+    return held.get().isRelayed()
+        ? "no holder of connections spoke in time"
+        : "the member did not begin in time";
   }
 
   /** Nobody waits for the answer any more; the link goes back once it has come. */
@@ -211,6 +229,19 @@
     public void lost(String cause) {
       loseLink(cause, false);
     }
+
+    @Override
+    public void notSent(String cause) {
+      if (phase == Phase.DONE || !held.get().isOpen()) {
+        loseLink(cause, true);
+        return;
+      }
+      boolean awaited = end();
+      held.release();
+      if (awaited) {
+        listener.noSlot(cause);
+      }
+    }
   }
 
   /** Ends the call; returns whether somebody waits for its answer. */
@@ -220,14 +251,14 @@
     return awaited;
   }
 
-  private void loseLink(String cause, boolean beginning) {
+  private void loseLink(String cause, boolean unsent) {
     if (phase == Phase.DONE) {
       return;
     }
     boolean awaited = end();
     held.forget();
     if (awaited) {
-      listener.lost(cause, beginning);
+      listener.lost(cause, unsent);
     }
   }
 
