Control: of two gateways' words on one term the later one counts

Cause: NodeRegistry.freshReport took the higher term first and, within a term, the gateway that is named first, however old its word was. A fence and the promotion after it are of one term, so p1's FENCED outranked p4's PRIMARY. Class: the order in which sources are looked through decides between their words. Ruled out: that the leader had heard of the promotion by lost heartbeats only, as was suspected; a member that left its role. Change: within a term the word told later counts; a heartbeat that was overtaken makes none newer. Seen failing: NodeRegistryTest.ofTwoWordsOnOneTermTheNewerCounts and .anOvertakenHeartbeatDoesNotMakeAWordNewer, GroupSupervisorTest.aPromotedMemberIsBelievedThoughTheHeartbeatsOfOneGatewayAreLost.

--- a/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
@@ -1,5 +1,6 @@
 package org.streamcourse.version.control;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,7 @@
     private final Set<String> news = new TreeSet<>();
     private long incarnation;
     private long lastHeardMillis = NEVER;
+    private long toldMillis = NEVER;
     private long backSinceMillis = NEVER;
     private long version;
     private long heldVersion;
@@ -82,6 +84,9 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  private static final Comparator<MemberReport> BY_REACH_AND_TERM =
+      Comparator.comparing(MemberReport::reachable).thenComparing(report -> report.status().term());
+
   private final Map<String, NodeState> states = new TreeMap<>();
   private long hearingSinceMillis = NEVER;
 
@@ -114,6 +119,7 @@
     if (overtaken) {
       return true;
     }
+    state.toldMillis = now;
     state.sequence = heartbeat.sequence();
     state.version = heartbeat.version();
     state.heldVersion = heartbeat.heldVersion();
@@ -162,30 +168,32 @@
     return states.values().stream().filter(state -> state.version >= version).count();
   }
 
-  /** Freshest report about a member among the given gateways heard within the allowed silence. */
+  /**
+   * Freshest report about a member among the given gateways heard within the allowed silence. A
+   * member's term never declines; of two words on one term the one that was told later is fresher.
+   */
   Optional<MemberReport> freshReport(
       Iterable<String> gateways, String group, String member, long now, long silenceMillis) {
     MemberReport best = null;
+    long bestToldMillis = NEVER;
     for (String gateway : gateways) {
       NodeState state = states.get(gateway);
       if (state == null || now - state.lastHeardMillis > silenceMillis) {
         continue;
       }
       MemberReport report = state.report(group, member).orElse(null);
-      if (report != null && (best == null || isBetter(report, best))) {
+      if (report == null) {
+        continue;
+      }
+      int order = best == null ? 1 : BY_REACH_AND_TERM.compare(report, best);
+      if (order > 0 || (order == 0 && state.toldMillis > bestToldMillis)) {
         best = report;
+        bestToldMillis = state.toldMillis;
       }
     }
     return Optional.ofNullable(best);
   }
 
-  private static boolean isBetter(MemberReport report, MemberReport than) {
-    if (report.reachable() != than.reachable()) {
-      return report.reachable();
-    }
-    return report.status().term() > than.status().term();
-  }
-
   /**
    * What the nodes that were lately heard, and may have connections to a member, say of it.
    *
--- /dev/null
+++ b/server/src/test/java/org/streamcourse/version/control/GroupSupervisorTest.java
@@ -0,0 +1,157 @@
+package org.streamcourse.version.control;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.streamcourse.version.control.ControlMessage.MemberOrder;
+import org.streamcourse.version.control.ControlMessage.MemberReport;
+import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.control.ControlMessage.OrderKind;
+import org.streamcourse.version.image.Allowance;
+import org.streamcourse.version.image.ClusterChange;
+import org.streamcourse.version.image.GroupImage;
+import org.streamcourse.version.image.GroupRules;
+import org.streamcourse.version.image.MemberImage;
+import org.streamcourse.version.image.NodeImage;
+import org.streamcourse.version.image.Place;
+import org.streamcourse.version.image.TermPosition;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What the leader makes of a promoted member's word when heartbeats are lost. */
+public class GroupSupervisorTest {
+  private static final String GROUP = "bookings";
+  private static final Place PLACE = new Place("r", "z");
+  private static final long TERM = 4;
+  private static final long CHOSEN_AT = 14_800;
+  private static final long STEP_MILLIS = 50;
+  private static final TermPosition FENCED_AT = new TermPosition(3, 212);
+  private static final ControlSettings SETTINGS = ControlSettings.DEFAULT;
+
+  private final GroupImage image =
+      new GroupImage(
+          GROUP,
+          TERM,
+          "m1",
+          List.of(member("m1", "p1", "p4"), member("m2", "p2", "p5")),
+          GroupRules.DEFAULT);
+
+  private long now;
+  private long sequence;
+  private long orderIds;
+  private List<MemberOrder> orders;
+  private List<ClusterChange> proposed;
+  private NodeRegistry registry;
+  private GroupSupervisor supervisor;
+
+  private final GroupSupervisor.Actions actions =
+      new GroupSupervisor.Actions() {
+        @Override
+        public long now() {
+          return now;
+        }
+
+        @Override
+        public long nextOrderId() {
+          orderIds++;
+          return orderIds;
+        }
+
+        @Override
+        public void sendOrder(String gateway, MemberOrder order) {
+          orders.add(order);
+        }
+
+        @Override
+        public void propose(ClusterChange change) {
+          proposed.add(change);
+        }
+
+        @Override
+        public void decided(
+            Decision.Kind kind, String subject, String cause, String inputs, String outcome) {
+          // Not looked at.
+        }
+      };
+
+  private static MemberImage member(String name, String... gateways) {
+    List<Allowance> allowances = new ArrayList<>();
+    for (String gateway : gateways) {
+      allowances.add(new Allowance(gateway, 8, 2));
+    }
+    return new MemberImage(name, "127.0.0.1", 1, PLACE, 16, 5, false, allowances);
+  }
+
+  private static MemberStatus status(long term, MemberRole role, String upstream) {
+    return new MemberStatus(term, role, upstream, FENCED_AT, FENCED_AT, FENCED_AT);
+  }
+
+  private static final MemberStatus FENCED = status(TERM, MemberRole.FENCED, "");
+  private static final MemberStatus LEADS = status(TERM, MemberRole.PRIMARY, "");
+  private static final MemberStatus FOLLOWS = status(TERM, MemberRole.REPLICA, "m1");
+
+  /** A member was chosen a moment ago; both of its gateways have seen it fenced. */
+  @BeforeMethod
+  public void aMemberIsChosen() {
+    now = CHOSEN_AT;
+    sequence = 0;
+    orderIds = 0;
+    orders = new ArrayList<>();
+    proposed = new ArrayList<>();
+    registry = new NodeRegistry();
+    supervisor = new GroupSupervisor(GROUP, SETTINGS, registry, actions);
+    heartbeat("p1", "m1", FENCED);
+    heartbeat("p4", "m1", FENCED);
+    heartbeat("p2", "m2", FOLLOWS);
+    heartbeat("p5", "m2", FOLLOWS);
+  }
+
+  private void heartbeat(String node, String member, MemberStatus status) {
+    sequence++;
+    registry.heard(
+        new NodeHeartbeat(
+            new NodeImage(node, 1, "127.0.0.1", 1, PLACE, false),
+            sequence,
+            1,
+            1,
+            false,
+            0,
+            true,
+            List.of(new MemberReport(GROUP, member, true, status))),
+        now,
+        true);
+  }
+
+  private void checkUntil(long end) {
+    while (now < end) {
+      supervisor.check(image);
+      now += STEP_MILLIS;
+    }
+  }
+
+  private long count(String member, OrderKind kind) {
+    return orders.stream()
+        .filter(each -> each.member().equals(member) && each.kind() == kind)
+        .count();
+  }
+
+  // Guards against: a gateway's older word outranked the newer one of another gateway, so a
+  // primary that had taken over was promoted again and replaced (simulator, switchover seed 63).
+  @Test
+  public void aPromotedMemberIsBelievedThoughTheHeartbeatsOfOneGatewayAreLost() {
+    checkUntil(CHOSEN_AT + 200);
+    heartbeat("p1", "m1", FENCED);
+    checkUntil(CHOSEN_AT + 500);
+    long before = count("m1", OrderKind.PROMOTE);
+    heartbeat("p4", "m1", LEADS);
+    checkUntil(CHOSEN_AT + 900);
+    heartbeat("p4", "m1", LEADS);
+    heartbeat("p2", "m2", FOLLOWS);
+    checkUntil(CHOSEN_AT + 1_400);
+    heartbeat("p4", "m1", LEADS);
+    checkUntil(CHOSEN_AT + SETTINGS.promotionMillis() + 2 * STEP_MILLIS);
+    assertEquals(proposed, List.of());
+    assertEquals(count("m1", OrderKind.PROMOTE), before);
+  }
+}
--- a/server/src/test/java/org/streamcourse/version/control/NodeRegistryTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/NodeRegistryTest.java
@@ -74,4 +74,42 @@
     registry.heard(heartbeat(2, false), 8_000, false);
     assertEquals(unreachable(registry, 8_010), 1);
   }
+
+  private static NodeHeartbeat heartbeatOf(String name, long sequence, MemberRole role) {
+    MemberStatus status =
+        new MemberStatus(4, role, "", TermPosition.ZERO, TermPosition.ZERO, TermPosition.ZERO);
+    NodeImage node = new NodeImage(name, 1, "n", 1, new Place("r", "z"), false);
+    MemberReport report = new MemberReport("g", "m", true, status);
+    return new NodeHeartbeat(node, sequence, 1, 0, false, 0, false, List.of(report));
+  }
+
+  private static MemberRole roleOf(NodeRegistry registry, long now) {
+    return registry
+        .freshReport(List.of("p1", "p4"), "g", "m", now, 1_500)
+        .orElseThrow()
+        .status()
+        .role();
+  }
+
+  // Guards against: of two gateways' words on one term that of the first in order counted, however
+  // old it was.
+  @Test
+  public void ofTwoWordsOnOneTermTheNewerCounts() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeatOf("p1", 1, MemberRole.FENCED), 1_000, false);
+    registry.heard(heartbeatOf("p4", 1, MemberRole.PRIMARY), 1_400, false);
+    assertEquals(roleOf(registry, 1_500), MemberRole.PRIMARY);
+    registry.heard(heartbeatOf("p1", 2, MemberRole.FENCED), 1_600, false);
+    assertEquals(roleOf(registry, 1_700), MemberRole.FENCED);
+  }
+
+  // Guards against: a heartbeat that was overtaken makes the word of its node the newest.
+  @Test
+  public void anOvertakenHeartbeatDoesNotMakeAWordNewer() {
+    NodeRegistry registry = new NodeRegistry();
+    registry.heard(heartbeatOf("p1", 2, MemberRole.FENCED), 1_000, false);
+    registry.heard(heartbeatOf("p4", 1, MemberRole.PRIMARY), 1_100, false);
+    registry.heard(heartbeatOf("p1", 1, MemberRole.FENCED), 1_200, false);
+    assertEquals(roleOf(registry, 1_300), MemberRole.PRIMARY);
+  }
 }
