Control: what a member answers to an order counts as its own word

Cause: GroupSupervisor.orderResult used the answers to fences and held writes only. With heartbeats lost a promotion or an order to follow went out again each 250 ms though it had been answered, and a primary that had taken over was replaced after 1.5 s. Change: the status of each order that was carried out is a report of the gateway that answered, heard at that time. It isn't taken when that gateway has told a newer term, nor when the order failed; it tells nothing of the node's life or its allowances. Ruled out: taking the answer in GroupSupervisor for promotions only; a second belief beside the registry's would have to be compared with it. Seen failing: GroupSupervisorTest.theAnswerToAPromotionIsTheMembersOwnWord (1 term opened), .theAnswerToAnOrderToFollowIsTheMembersOwnWord (5 orders for 1). The two cases on old and failed answers guard the change; they hold before.

--- a/server/src/main/java/org/streamcourse/version/control/GroupSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/GroupSupervisor.java
@@ -149,12 +149,16 @@
     return orders.awaits(orderId);
   }
 
-  /** Takes in the outcome of an order. */
+  /** Takes in the outcome of an order; what the member said with it counts as its own word. */
   void orderResult(GroupImage image, MemberOrderResult result) {
     MemberOrders.Sent order = orders.answered(result.orderId()).orElse(null);
     if (order == null || !result.done()) {
       return;
     }
+    registry.answered(
+        order.gateway(),
+        new MemberReport(group, order.member(), true, result.status()),
+        actions.now());
     if (order.kind() == OrderKind.FENCE) {
       fenceConfirmed(image, order, result.status());
     } else if (order.kind() == OrderKind.HOLD_WRITES && switchover != null) {
--- a/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
@@ -18,6 +18,7 @@
   /** Last words of one node. */
   static final class NodeState {
     private final Map<String, MemberReport> reports = new TreeMap<>();
+    private final Map<String, Long> answeredMillis = new TreeMap<>();
     private final Set<String> news = new TreeSet<>();
     private long incarnation;
     private long lastHeardMillis = NEVER;
@@ -63,6 +64,10 @@
     Optional<MemberReport> report(String group, String member) {
       return Optional.ofNullable(reports.get(key(group, member)));
     }
+
+    private long answeredMillis(String group, String member) {
+      return answeredMillis.getOrDefault(key(group, member), NEVER);
+    }
   }
 
   /**
@@ -109,6 +114,7 @@
     }
     if (incarnation > state.incarnation) {
       state.reports.clear();
+      state.answeredMillis.clear();
       state.complete = false;
       state.incarnation = incarnation;
     }
@@ -129,6 +135,7 @@
     state.news.clear();
     if (heartbeat.all()) {
       state.reports.keySet().retainAll(keys(heartbeat.reports()));
+      state.answeredMillis.keySet().retainAll(state.reports.keySet());
     }
     for (MemberReport report : heartbeat.reports()) {
       MemberReport before = state.reports.put(key(report.group(), report.member()), report);
@@ -139,6 +146,23 @@
     return true;
   }
 
+  /**
+   * Takes in what a member said to one of its gateways in answer to an order. A heartbeat that
+   * tells the same may be lost, and the answer counts like one; not for the life of the node.
+   */
+  void answered(String gateway, MemberReport answer, long now) {
+    NodeState state = states.get(gateway);
+    if (state == null) {
+      return;
+    }
+    String key = key(answer.group(), answer.member());
+    MemberReport before = state.reports.get(key);
+    if (before == null || answer.status().term() >= before.status().term()) {
+      state.reports.put(key, answer);
+      state.answeredMillis.put(key, now);
+    }
+  }
+
   /** At first a leader hears all nodes anew, though none of them was away. */
   private void noteReturn(NodeState state, long now) {
     if (hearingSinceMillis == NEVER) {
@@ -178,17 +202,20 @@
     long bestToldMillis = NEVER;
     for (String gateway : gateways) {
       NodeState state = states.get(gateway);
-      if (state == null || now - state.lastHeardMillis > silenceMillis) {
+      if (state == null) {
         continue;
       }
+      long answeredMillis = state.answeredMillis(group, member);
+      boolean silent = now - Math.max(state.lastHeardMillis, answeredMillis) > silenceMillis;
       MemberReport report = state.report(group, member).orElse(null);
-      if (report == null) {
+      if (silent || report == null) {
         continue;
       }
+      long toldMillis = Math.max(state.toldMillis, answeredMillis);
       int order = best == null ? 1 : BY_REACH_AND_TERM.compare(report, best);
-      if (order > 0 || (order == 0 && state.toldMillis > bestToldMillis)) {
+      if (order > 0 || (order == 0 && toldMillis > bestToldMillis)) {
         best = report;
-        bestToldMillis = state.toldMillis;
+        bestToldMillis = toldMillis;
       }
     }
     return Optional.ofNullable(best);
--- a/server/src/test/java/org/streamcourse/version/control/GroupSupervisorTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/GroupSupervisorTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.streamcourse.version.control.ControlMessage.MemberOrder;
+import org.streamcourse.version.control.ControlMessage.MemberOrderResult;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
 import org.streamcourse.version.control.ControlMessage.OrderKind;
@@ -154,4 +155,57 @@
     assertEquals(proposed, List.of());
     assertEquals(count("m1", OrderKind.PROMOTE), before);
   }
+
+  private void answerLast(MemberStatus status) {
+    long last = orders.get(orders.size() - 1).orderId();
+    supervisor.orderResult(image, new MemberOrderResult(last, true, status, ""));
+  }
+
+  // Guards against: the answer to a promotion was ignored, so that with lost heartbeats the member
+  // was promoted again each 250 ms and then replaced.
+  @Test
+  public void theAnswerToAPromotionIsTheMembersOwnWord() {
+    checkUntil(CHOSEN_AT + 100);
+    heartbeat("p1", "m1", FENCED);
+    checkUntil(CHOSEN_AT + 150);
+    answerLast(LEADS);
+    checkUntil(CHOSEN_AT + 1_000);
+    heartbeat("p2", "m2", FOLLOWS);
+    checkUntil(CHOSEN_AT + SETTINGS.promotionMillis() + 2 * STEP_MILLIS);
+    assertEquals(proposed, List.of());
+    assertEquals(count("m1", OrderKind.PROMOTE), 1);
+  }
+
+  // Guards against: the answer to an order to follow was ignored, so that the order went out again.
+  @Test
+  public void theAnswerToAnOrderToFollowIsTheMembersOwnWord() {
+    heartbeat("p2", "m2", FENCED);
+    heartbeat("p5", "m2", FENCED);
+    heartbeat("p4", "m1", LEADS);
+    supervisor.check(image);
+    answerLast(FOLLOWS);
+    checkUntil(CHOSEN_AT + 1_000);
+    assertEquals(count("m2", OrderKind.FOLLOW), 1);
+  }
+
+  // Guards against: an answer that comes after a newer word of the same gateway takes its place.
+  @Test
+  public void anAnswerOfAnOlderTermDoesNotReplaceANewerWord() {
+    supervisor.check(image);
+    heartbeat("p1", "m1", status(TERM + 1, MemberRole.FENCED, ""));
+    heartbeat("p4", "m1", status(TERM + 1, MemberRole.FENCED, ""));
+    answerLast(LEADS);
+    supervisor.check(image);
+    assertEquals(proposed, List.of(new ClusterChange.TermOpened(GROUP, TERM + 1)));
+  }
+
+  // Guards against: what a gateway knew last counts as the member's word though it did not answer.
+  @Test
+  public void anOrderThatFailedIsNotTheMembersWord() {
+    supervisor.check(image);
+    long last = orders.get(orders.size() - 1).orderId();
+    supervisor.orderResult(image, new MemberOrderResult(last, false, LEADS, "no answer"));
+    checkUntil(CHOSEN_AT + 300);
+    assertEquals(count("m1", OrderKind.PROMOTE), 2);
+  }
 }
