Control: a primary that a planned change has fenced is not lost

Cause: while a planned change is under way, the leader compares the primary's role with the image, in which it still leads. Its fence, which the change ordered, read as `primary m1 is not reachable`, and a term was opened. Change: a planned change that fences is ended by its own limit, holdWritesMillis; a primary that is unreachable still counts at once.

--- a/server/src/main/java/org/streamcourse/version/control/GroupSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/GroupSupervisor.java
@@ -207,7 +207,10 @@
     boolean tookOver =
         report.get().status().term() == image.term()
             && report.get().status().role() == MemberRole.PRIMARY;
-    return !tookOver && watchedFor > settings.promotionMillis();
+    // Once a planned change fences, the primary is no primary any more, and the change has a limit
+    // of its own.
+    boolean deposed = switchover != null && switchover.isFencing();
+    return !tookOver && !deposed && watchedFor > settings.promotionMillis();
   }
 
   private boolean majorityReachable(GroupImage image) {
--- a/server/src/test/java/org/streamcourse/version/control/GroupSupervisorTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/GroupSupervisorTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.streamcourse.version.control.ControlMessage.MemberOrder;
 import org.streamcourse.version.control.ControlMessage.MemberOrderResult;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
@@ -208,4 +209,41 @@
     checkUntil(CHOSEN_AT + 300);
     assertEquals(count("m1", OrderKind.PROMOTE), 2);
   }
+
+  private void answer(GroupImage group, String member, OrderKind kind, MemberStatus status) {
+    for (MemberOrder order : List.copyOf(orders)) {
+      if (order.member().equals(member) && order.kind() == kind) {
+        supervisor.orderResult(group, new MemberOrderResult(order.orderId(), true, status, ""));
+      }
+    }
+  }
+
+  // Guards against: the primary that a planned change has fenced was taken for one that is lost,
+  // so that the change was turned into an unplanned one.
+  @Test
+  public void aPrimaryFencedByAPlannedChangeIsNotTakenForLost() {
+    List<MemberImage> members = new ArrayList<>(image.members());
+    for (int number = 3; number <= 5; number++) {
+      members.add(member("m" + number, "p2", "p5"));
+    }
+    GroupImage five = new GroupImage(GROUP, TERM, "m1", members, GroupRules.DEFAULT);
+    supervisor.check(five);
+    now += SETTINGS.promotionMillis() + 2 * STEP_MILLIS;
+    heartbeat("p1", "m1", LEADS);
+    heartbeat("p4", "m1", LEADS);
+    heartbeat("p2", "m2", FOLLOWS);
+    heartbeat("p5", "m3", FOLLOWS);
+    assertEquals(supervisor.startSwitchover(five, "m2"), Optional.empty());
+    supervisor.check(five);
+    answer(five, "m1", OrderKind.HOLD_WRITES, LEADS);
+    MemberStatus fencedAhead = status(TERM + 1, MemberRole.FENCED, "");
+    answer(five, "m2", OrderKind.FENCE, fencedAhead);
+    answer(five, "m1", OrderKind.FENCE, fencedAhead);
+    heartbeat("p1", "m1", fencedAhead);
+    supervisor.check(five);
+    assertEquals(proposed, List.of());
+    answer(five, "m3", OrderKind.FENCE, fencedAhead);
+    supervisor.check(five);
+    assertEquals(proposed, List.of(new ClusterChange.PrimaryHandedOver(GROUP, TERM + 1, "m2")));
+  }
 }
