--- a/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeRegistry.java
@@ -1,5 +1,6 @@
 package org.streamcourse.version.control;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,9 +18,11 @@
   /** Last words of one node. */
   static final class NodeState {
     private final Map<String, MemberReport> reports = new TreeMap<>();
+    private final Map<String, Long> answeredMillis = new TreeMap<>();
     private final Set<String> news = new TreeSet<>();
     private long incarnation;
     private long lastHeardMillis = NEVER;
+    private long toldMillis = NEVER;
     private long backSinceMillis = NEVER;
     private long version;
     private long heldVersion;
@@ -61,6 +64,10 @@
     Optional<MemberReport> report(String group, String member) {
       return Optional.ofNullable(reports.get(key(group, member)));
     }
+
+    private long answeredMillis(String group, String member) {
+      return answeredMillis.getOrDefault(key(group, member), NEVER);
+    }
   }
 
   /**
@@ -82,6 +89,9 @@
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  private static final Comparator<MemberReport> BY_REACH_AND_TERM =
+      Comparator.comparing(MemberReport::reachable).thenComparing(report -> report.status().term());
+
   private final Map<String, NodeState> states = new TreeMap<>();
   private long hearingSinceMillis = NEVER;
 
@@ -104,6 +114,7 @@
     }
     if (incarnation > state.incarnation) {
       state.reports.clear();
+      state.answeredMillis.clear();
       state.complete = false;
       state.incarnation = incarnation;
     }
@@ -114,6 +125,7 @@
     if (overtaken) {
       return true;
     }
+    state.toldMillis = now;
     state.sequence = heartbeat.sequence();
     state.version = heartbeat.version();
     state.heldVersion = heartbeat.heldVersion();
@@ -123,6 +135,7 @@
     state.news.clear();
     if (heartbeat.all()) {
       state.reports.keySet().retainAll(keys(heartbeat.reports()));
+      state.answeredMillis.keySet().retainAll(state.reports.keySet());
     }
     for (MemberReport report : heartbeat.reports()) {
       MemberReport before = state.reports.put(key(report.group(), report.member()), report);
@@ -133,6 +146,23 @@
     return true;
   }
 
+  /**
+   * Takes in what a member said to one of its gateways in answer to an order. A heartbeat that
+   * tells the same may be lost, and the answer counts like one; not for the life of the node.
+   */
+  void answered(String gateway, MemberReport answer, long now) {
+    NodeState state = states.get(gateway);
+    if (state == null) {
+      return;
+    }
+    String key = key(answer.group(), answer.member());
+    MemberReport before = state.reports.get(key);
+    if (before == null || answer.status().term() >= before.status().term()) {
+      state.reports.put(key, answer);
+      state.answeredMillis.put(key, now);
+    }
+  }
+
   /** At first a leader hears all nodes anew, though none of them was away. */
   private void noteReturn(NodeState state, long now) {
     if (hearingSinceMillis == NEVER) {
@@ -162,30 +192,35 @@
     return states.values().stream().filter(state -> state.version >= version).count();
   }
 
-  /** Freshest report about a member among the given gateways heard within the allowed silence. */
+  /**
+   * Freshest report about a member among the given gateways heard within the allowed silence. A
+   * member's term never declines; of two words on one term the one that was told later is fresher.
+   */
   Optional<MemberReport> freshReport(
       Iterable<String> gateways, String group, String member, long now, long silenceMillis) {
     MemberReport best = null;
+    long bestToldMillis = NEVER;
     for (String gateway : gateways) {
       NodeState state = states.get(gateway);
-      if (state == null || now - state.lastHeardMillis > silenceMillis) {
+      if (state == null) {
         continue;
       }
+      long answeredMillis = state.answeredMillis(group, member);
+      boolean silent = now - Math.max(state.lastHeardMillis, answeredMillis) > silenceMillis;
       MemberReport report = state.report(group, member).orElse(null);
-      if (report != null && (best == null || isBetter(report, best))) {
+      if (silent || report == null) {
+        continue;
+      }
+      long toldMillis = Math.max(state.toldMillis, answeredMillis);
+      int order = best == null ? 1 : BY_REACH_AND_TERM.compare(report, best);
+      if (order > 0 || (order == 0 && toldMillis > bestToldMillis)) {
         best = report;
+        bestToldMillis = toldMillis;
       }
     }
     return Optional.ofNullable(best);
   }
 
-  private static boolean isBetter(MemberReport report, MemberReport than) {
-    if (report.reachable() != than.reachable()) {
-      return report.reachable();
-    }
-    return report.status().term() > than.status().term();
-  }
-
   /**
    * What the nodes that were lately heard, and may have connections to a member, say of it.
    *
