Lab: fleets claim their blocks of ports, so labs at once share none

Cause: a lab chose its first block of 400 ports by its process id modulo 56 and only probed whether somebody listened at a port already. Now a block is claimed by listening at its first port until the fleet is closed.

--- a/lab/src/main/java/org/streamcourse/lab/fleet/FleetLayout.java
+++ b/lab/src/main/java/org/streamcourse/lab/fleet/FleetLayout.java
@@ -271,10 +271,11 @@
     return machineList;
   }
 
-  /** Closes all relays and the list of machines. */
+  /** Closes all relays and the list of machines, and gives the ports back. */
   void close() {
     machineList.close();
     relays.values().forEach(Relay::close);
     loops.dispose();
+    ports.close();
   }
 }
--- a/lab/src/main/java/org/streamcourse/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/org/streamcourse/lab/scale/ScaleFleet.java
@@ -214,5 +214,6 @@
     nodes.forEach(HollowNode::close);
     workers.stop();
     loops.dispose();
+    ports.close();
   }
 }
--- a/lab/src/test/java/org/streamcourse/lab/process/PlannedStopLogTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/PlannedStopLogTest.java
@@ -21,12 +21,13 @@
   public void linesOfAPlannedStopAreWritten() throws Exception {
     Path folder = Files.createTempDirectory("streamcourse-stop");
     Path log = folder.resolve("p1.log");
+    Ports ports = new Ports();
     FleetProcess proxy =
         new FleetProcess(
             "p1",
             HEAP_MB,
             StreamcourseCommand.class,
-            List.of("proxy", "--config=" + settings(folder)),
+            List.of("proxy", "--config=" + settings(folder, ports)),
             folder);
     proxy.logAt("INFO");
     proxy.start();
@@ -39,12 +40,12 @@
       assertTrue(lines.contains("proxy p1 has stopped"), lines);
     } finally {
       proxy.killForGood();
+      ports.close();
     }
   }
 
   /** A proxy whose only controller is not there. */
-  private static Path settings(Path folder) throws Exception {
-    Ports ports = new Ports();
+  private static Path settings(Path folder, Ports ports) throws Exception {
     String yaml =
         """
         name: p1
--- a/lab/src/test/java/org/streamcourse/lab/relay/RelayTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/relay/RelayTest.java
@@ -25,6 +25,7 @@
   private static final int NUMBERS = 300;
   private static final int ANSWER_TIMEOUT_MILLIS = 60_000;
 
+  private final Ports ports = new Ports();
   private LoopResources loops;
   private ServerSocket target;
   private Relay relay;
@@ -34,7 +35,7 @@
   public void open() throws IOException {
     loops = LoopResources.create("relay-test", 2, true);
     target = new ServerSocket(0, 16, InetAddress.getByName(LOOPBACK));
-    entrance = new Ports().next();
+    entrance = ports.next();
     relay = new Relay(entrance, new HostPort(LOOPBACK, target.getLocalPort()), 1_500, loops);
   }
 
@@ -43,6 +44,7 @@
     relay.close();
     target.close();
     loops.dispose();
+    ports.close();
   }
 
   /** What was sent before, during and after a cut, and the end itself, arrive in this order. */
