Soak: half of the callers keep a connection until it is closed

All callers of the soak left a connection at the first error, also a refusal on a connection that was still open (Caller.run), and went to the next proxy after 25 requests, about a second (Caller.request), so few of them were still there while a process was told to stop. Clients use open connections until the process is gone. Now four callers of each group roam as before, and four go on until the driver finds the connection closed. A connection on which the age limit could not be set is closed, since it would be told older answers than accepted.

--- a/lab/src/main/java/org/streamcourse/lab/soak/SoakRun.java
+++ b/lab/src/main/java/org/streamcourse/lab/soak/SoakRun.java
@@ -12,11 +12,13 @@
 import org.streamcourse.lab.workload.Verification;
 
 /**
- * One run: a fleet of real processes, callers that roam and keep their connections while these
- * last, the faults of the plan, a time to recover, and the history for the checks.
+ * One run: a fleet of real processes, callers of which one half roams and one half keeps its
+ * connections until these are closed, the faults of the plan, a time to recover, and the history
+ * for the checks.
  */
 final class SoakRun implements AutoCloseable {
-  private static final int CALLERS_PER_DATABASE = 8;
+  private static final int ROAMING_PER_DATABASE = 4;
+  private static final int STAYING_PER_DATABASE = 4;
   private static final double READ_SHARE = 0.7;
   private static final long PAUSE_MILLIS = 15;
   private static final int ROAM_EVERY = 25;
@@ -67,12 +69,14 @@
     Callers callers =
         Callers.prepare(
             fleet,
-            CALLERS_PER_DATABASE,
+            ROAMING_PER_DATABASE,
             READ_SHARE,
             PAUSE_MILLIS,
             ROAM_EVERY,
             MAX_STALENESS_MILLIS,
             settings.seed());
+    callers.addStaying(
+        STAYING_PER_DATABASE, READ_SHARE, PAUSE_MILLIS, MAX_STALENESS_MILLIS, settings.seed());
     callers.start();
     progress.begin();
     progress.tell("the fleet serves; faults begin");
--- a/lab/src/main/java/org/streamcourse/lab/workload/Caller.java
+++ b/lab/src/main/java/org/streamcourse/lab/workload/Caller.java
@@ -32,8 +32,15 @@
    * @param pauseMillis pause between requests
    * @param roamEvery requests after which it connects to the next proxy
    * @param maxStalenessMillis oldest answer that it accepts
+   * @param keepsConnection whether it goes on after an error on a connection that is still open,
+   *     and connects to the next proxy only once the connection is closed
    */
-  record Behavior(double readShare, long pauseMillis, int roamEvery, long maxStalenessMillis) {}
+  record Behavior(
+      double readShare,
+      long pauseMillis,
+      int roamEvery,
+      long maxStalenessMillis,
+      boolean keepsConnection) {}
 
   private static final int SLOTS = 50;
   private static final long RECONNECT_MILLIS = 50;
@@ -102,7 +109,9 @@
       } catch (SQLException e) {
         journal.error(String.valueOf(e.getSQLState()), e.getMessage());
         noteRequest(e);
-        disconnect();
+        if (!behavior.keepsConnection() || isClosed()) {
+          disconnect();
+        }
         pause(RECONNECT_MILLIS);
       }
     }
@@ -132,6 +141,10 @@
     connection = Fleet.connect(proxies.get(proxyIndex), database, floorToken);
     try (Statement statement = connection.createStatement()) {
       statement.execute("SET streamcourse.max_staleness_ms = " + behavior.maxStalenessMillis());
+    } catch (SQLException e) {
+      // Without the setting it would be told older answers than it accepts.
+      disconnect();
+      throw e;
     }
   }
 
@@ -146,6 +159,15 @@
     connection = null;
   }
 
+  /** The driver closes a connection when it meets its end or gets no answer in time. */
+  private boolean isClosed() {
+    try {
+      return connection == null || connection.isClosed();
+    } catch (SQLException e) {
+      return true;
+    }
+  }
+
   private void request() throws SQLException {
     requests++;
     if (behavior.roamEvery() > 0 && requests % behavior.roamEvery() == 0) {
--- a/lab/src/main/java/org/streamcourse/lab/workload/Callers.java
+++ b/lab/src/main/java/org/streamcourse/lab/workload/Callers.java
@@ -54,7 +54,7 @@
       throws SQLException {
     List<HostPort> addresses = fleet.proxies().stream().map(Fleet.ProxyHandle::callers).toList();
     Callers all = new Callers();
-    Behavior behavior = new Behavior(readShare, pauseMillis, roamEvery, maxStalenessMillis);
+    Behavior behavior = new Behavior(readShare, pauseMillis, roamEvery, maxStalenessMillis, false);
     for (String database : fleet.profile().databases()) {
       try (Connection connection = Fleet.connect(addresses.get(0), database, "")) {
         Caller.createTables(connection);
@@ -80,7 +80,7 @@
       Fleet fleet, int perDatabase, double readShare, long maxStalenessMillis, long seed)
       throws SQLException {
     Callers all = new Callers();
-    Behavior behavior = new Behavior(readShare, 0, 0, maxStalenessMillis);
+    Behavior behavior = new Behavior(readShare, 0, 0, maxStalenessMillis, false);
     for (String database : fleet.profile().databases()) {
       all.add(database, List.of(fleet.primary(database).sql()), perDatabase, behavior, seed);
     }
@@ -95,26 +95,46 @@
    * @param seed seed of their choices
    */
   public void addWriters(long maxStalenessMillis, long seed) {
-    Behavior behavior = new Behavior(0, 0, 0, maxStalenessMillis);
-    tickers.forEach(
-        (database, ticking) ->
-            callers.add(
-                new Caller(
-                    callers.size(),
-                    database,
-                    ticking.addresses(),
-                    behavior,
-                    journal,
-                    ticking.ticker(),
-                    seed)));
+    addToEach(1, new Behavior(0, 0, 0, maxStalenessMillis, false), seed);
+  }
+
+  /**
+   * Adds callers that keep an open connection until it is closed, also while its proxy is told to
+   * stop or refuses, and only then go to the next proxy.
+   *
+   * @param perDatabase callers of each database
+   * @param readShare share of reads
+   * @param pauseMillis pause of a caller between requests
+   * @param maxStalenessMillis oldest answer that they accept
+   * @param seed seed of their choices
+   */
+  public void addStaying(
+      int perDatabase, double readShare, long pauseMillis, long maxStalenessMillis, long seed) {
+    addToEach(perDatabase, new Behavior(readShare, pauseMillis, 0, maxStalenessMillis, true), seed);
+  }
+
+  private void addToEach(int perDatabase, Behavior behavior, long seed) {
+    tickers.forEach((database, ticking) -> add(database, ticking, perDatabase, behavior, seed));
   }
 
   private void add(
       String database, List<HostPort> addresses, int count, Behavior behavior, long seed) {
-    Ticker ticker = new Ticker();
-    tickers.put(database, new Ticking(ticker, addresses));
+    Ticking ticking = new Ticking(new Ticker(), addresses);
+    tickers.put(database, ticking);
+    add(database, ticking, count, behavior, seed);
+  }
+
+  private void add(String database, Ticking ticking, int count, Behavior behavior, long seed) {
     for (int i = 0; i < count; i++) {
-      callers.add(new Caller(callers.size(), database, addresses, behavior, journal, ticker, seed));
+      callers.add(
+          new Caller(
+              callers.size(),
+              database,
+              ticking.addresses(),
+              behavior,
+              journal,
+              ticking.ticker(),
+              seed));
     }
   }
 
