Streams: answers count as answers, so a quiet link is not dropped as stuck

Cause: since links between plain proxies are replaced after 4 s of silence, each message counts as one that its receiver must answer, unless it is a OneWayMessage. None of StreamMessage was, so a node whose last word to another was an answer, credit or a stream's end took the link for stuck at its next message more than 4 s later, dropped it, and broke the request that this message opened: OUTCOME_UNKNOWN in a fleet without any fault.

Ruled out: load. The machine was busy, which only made the pause longer; QuietFleetTest pauses for 6 s and failed 5 of 32 requests before, none after. Answers, credit, a stream's end and a cancel need no answer. KeepStreams follows apart; AwaitReceived may stay unanswered while a replica is down, and still counts.

--- /dev/null
+++ b/lab/src/test/java/org/streamcourse/lab/process/QuietFleetTest.java
@@ -0,0 +1,89 @@
+package org.streamcourse.lab.process;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Files;
+import java.sql.Connection;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.streamcourse.lab.fleet.Fleet;
+import org.streamcourse.lab.fleet.Profile;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Requests that are far apart are served as others, since a quiet link is not a stuck one. */
+public class QuietFleetTest {
+  private static final int CONTROLLERS = 3;
+
+  /** More than hold a member's connections, so that they ask each other. */
+  private static final int PROXIES = 4;
+
+  private static final int ROUNDS = 4;
+
+  /** Longer than the silence after which a link counts as stuck. */
+  private static final long QUIET_SECONDS = 6;
+
+  private Fleet fleet;
+
+  @BeforeClass
+  public void start() throws Exception {
+    Profile stations = Profile.STATIONS;
+    Profile twoGroups =
+        new Profile(
+            "quiet",
+            stations.regions(),
+            List.of("group1", "group2"),
+            stations.connections(),
+            stations.slots(),
+            stations.connectMillis(),
+            stations.zoneMicros(),
+            stations.regionMicros(),
+            stations.callerMicros(),
+            stations.readShare());
+    fleet =
+        new Fleet(
+            twoGroups,
+            Files.createTempDirectory("streamcourse-quiet"),
+            new Fleet.Options("nearest-fresh", Map.of(), false, CONTROLLERS, PROXIES));
+    Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
+    fleet.start();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void end() {
+    fleet.close();
+  }
+
+  @Test
+  public void requestsAfterAQuietTimeAreServed() throws Exception {
+    List<String> failed = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      requestAfterAQuietTime(failed);
+    }
+    assertEquals(failed, List.of(), failed.toString());
+  }
+
+  private void requestAfterAQuietTime(List<String> failed) throws Exception {
+    TimeUnit.SECONDS.sleep(QUIET_SECONDS);
+    for (Fleet.ProxyHandle proxy : fleet.proxies()) {
+      for (String database : fleet.profile().databases()) {
+        execute(proxy, database, "CREATE TABLE IF NOT EXISTS quiet (id INT)", failed);
+      }
+    }
+  }
+
+  private static void execute(
+      Fleet.ProxyHandle proxy, String database, String sql, List<String> failed) {
+    try (Connection connection = Fleet.connect(proxy.callers(), database, "");
+        Statement statement = connection.createStatement()) {
+      statement.execute(sql);
+    } catch (SQLException e) {
+      failed.add(proxy.name() + '/' + database + ": " + e.getMessage());
+    }
+  }
+}
--- a/server/src/main/java/org/streamcourse/request/StreamMessage.java
+++ b/server/src/main/java/org/streamcourse/request/StreamMessage.java
@@ -1,12 +1,15 @@
 package org.streamcourse.request;
 
 import java.util.List;
+import org.streamcourse.connection.peer.OneWayMessage;
 import org.streamcourse.version.control.MemberStatus;
 import org.streamcourse.version.image.TermPosition;
 
 /**
  * Messages between the edge, which holds a caller's session, and the gateway of a member. A stream
- * is the use of one member connection: for one unit of work, or for a whole transaction.
+ * is the use of one member connection: for one unit of work, or for a whole transaction. What needs
+ * no answer is marked as such, so that a link that has merely been quiet since is not taken for a
+ * stuck one.
  */
 public sealed interface StreamMessage {
   /** What a stream is for. */
@@ -77,21 +80,21 @@
    * @param streamId the stream
    * @param bytes number of bytes that the caller has taken
    */
-  record Credit(long streamId, int bytes) implements StreamMessage {}
+  record Credit(long streamId, int bytes) implements StreamMessage, OneWayMessage {}
 
   /**
    * Ends a stream; an open transaction is rolled back.
    *
    * @param streamId the stream
    */
-  record CloseStream(long streamId) implements StreamMessage {}
+  record CloseStream(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks the member to cancel the running unit.
    *
    * @param streamId the stream
    */
-  record CancelUnit(long streamId) implements StreamMessage {}
+  record CancelUnit(long streamId) implements StreamMessage, OneWayMessage {}
 
   /**
    * Shows that the edge still holds its open streams at this gateway.
@@ -106,7 +109,7 @@
    * @param streamId the stream
    * @param messages the messages
    */
-  record Output(long streamId, byte[] messages) implements StreamMessage {}
+  record Output(long streamId, byte[] messages) implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit's answer is complete, up to but without ReadyForQuery.
@@ -120,7 +123,7 @@
    */
   record UnitDone(
       long streamId, char status, TermPosition position, boolean committed, boolean open)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /** Why a gateway did not run a unit. */
   enum Refusal {
@@ -149,7 +152,7 @@
    * @param retryAfterMillis when it may be tried here again
    */
   record Refused(long streamId, Refusal refusal, TermPosition applied, long retryAfterMillis)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * The unit was begun and its outcome is not known; the stream is closed.
@@ -158,7 +161,8 @@
    * @param step step at which it broke
    * @param detail what happened
    */
-  record Broken(long streamId, String step, String detail) implements StreamMessage {}
+  record Broken(long streamId, String step, String detail)
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a gateway to ask a member, now, where it stands.
@@ -178,7 +182,7 @@
    * @param status what it said
    */
   record PositionReply(long requestId, String member, boolean known, MemberStatus status)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 
   /**
    * Asks a replica's gateway to tell when the replica has received a place under a term.
@@ -200,5 +204,5 @@
    * @param matched end of the matching part
    */
   record ReceivedReport(String group, String member, long term, TermPosition matched)
-      implements StreamMessage {}
+      implements StreamMessage, OneWayMessage {}
 }
