--- a/lab/src/test/java/org/streamcourse/lab/process/QuietFleetTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/process/QuietFleetTest.java
@@ -28,6 +28,9 @@
   /** Longer than the silence after which a link counts as stuck. */
   private static final long QUIET_SECONDS = 6;
 
+  /** Nodes tell each other every second which transactions are open. */
+  private static final long TRANSACTION_SECONDS = 2;
+
   private Fleet fleet;
 
   @BeforeClass
@@ -68,6 +71,35 @@
     assertEquals(failed, List.of(), failed.toString());
   }
 
+  /** While a transaction is open, nodes tell each other so, which needs no answer. */
+  @Test
+  public void requestsAfterAbandonedTransactionsAreServed() throws Exception {
+    List<String> failed = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      abandonTransactions();
+      requestAfterAQuietTime(failed);
+    }
+    assertEquals(failed, List.of(), failed.toString());
+  }
+
+  private void abandonTransactions() throws Exception {
+    List<Connection> open = new ArrayList<>();
+    for (Fleet.ProxyHandle proxy : fleet.proxies()) {
+      for (String database : fleet.profile().databases()) {
+        Connection connection = Fleet.connect(proxy.callers(), database, "");
+        open.add(connection);
+        connection.setAutoCommit(false);
+        try (Statement statement = connection.createStatement()) {
+          statement.execute("SELECT 1");
+        }
+      }
+    }
+    TimeUnit.SECONDS.sleep(TRANSACTION_SECONDS);
+    for (Connection connection : open) {
+      connection.close();
+    }
+  }
+
   private void requestAfterAQuietTime(List<String> failed) throws Exception {
     TimeUnit.SECONDS.sleep(QUIET_SECONDS);
     for (Fleet.ProxyHandle proxy : fleet.proxies()) {
--- a/server/src/main/java/org/streamcourse/request/StreamMessage.java
+++ b/server/src/main/java/org/streamcourse/request/StreamMessage.java
@@ -101,7 +101,7 @@
    *
    * @param streamIds the streams
    */
-  record KeepStreams(List<Long> streamIds) implements StreamMessage {}
+  record KeepStreams(List<Long> streamIds) implements StreamMessage, OneWayMessage {}
 
   /**
    * Part of an answer: whole messages of the member.
