Review case 2: a moved route makes bounded reads stale

Tried: a transaction is open at one service when its route moves to another service; after its commit, a bounded_stale read at the same edge goes to the other service, whose two replicas have received nothing for 3 s.

Seen: the read carries a log position of the first service as its floor and runs at a replica that lacks a commit acknowledged 3.3 s earlier; 1.5 s are allowed.

--- a/review/standins/Document.java
+++ b/review/standins/Document.java
@@ -3,6 +3,10 @@
  * one route whose database name tells the version.
  */
 final class Document {
+  private static final String LIMITS =
+      "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
+          + "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}";
+
   private Document() {}
 
   static String of(long version, String service) {
@@ -11,11 +15,26 @@
         + route("dbself", "self", 1_000, 800, 2, service) + ","
         + route("dbstale", "bounded_stale", 3_000, 1_000, 2, service) + ","
         + route("db" + version, "primary", 1_000, 400, 1, service)
-        + "],\"services\":[{\"name\":\"" + service
+        + "],\"services\":[" + service(service) + "]," + LIMITS + "}";
+  }
+
+  /**
+   * A document with two services. The route of "dbroyalty" leads to the first one, or to the second
+   * one once it has moved; "dbcatalogue" reads from the second.
+   */
+  static String ofTwo(long version, String first, String second, boolean moved) {
+    return "{\"version\":" + version + ",\"routes\":["
+        + route("dbroyalty", "primary", 1_000, 400, 1, moved ? second : first) + ","
+        + route("dbfirst", "primary", 1_000, 400, 1, first) + ","
+        + route("dbsecond", "primary", 1_000, 400, 1, second) + ","
+        + route("dbcatalogue", "bounded_stale", 3_000, 1_000, 2, second)
+        + "],\"services\":[" + service(first) + "," + service(second) + "]," + LIMITS + "}";
+  }
+
+  private static String service(String name) {
+    return "{\"name\":\"" + name
         + "\",\"health-path\":\"/health\",\"max-conns\":50,\"protocol\":\"h1\",\"tls\":false,"
-        + "\"sync-replicas\":0}],\"limits\":{\"max-header-bytes\":16384,"
-        + "\"max-body-bytes\":262144,\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,"
-        + "\"tx-idle-ms\":3000}}";
+        + "\"sync-replicas\":0}";
   }
 
   private static String route(
--- a/review/standins/Member.java
+++ b/review/standins/Member.java
@@ -28,15 +28,32 @@
   private final ServerSocket socket;
   private final AtomicLong sequence = new AtomicLong();
   private static final AtomicLong SIGNATURES = new AtomicLong(1_000);
-  private final AtomicLong position = new AtomicLong(100);
+  private final ServiceLog log;
+
+  /** Position up to which a deaf replica has received the log; negative for one that is not deaf. */
+  private volatile long deafAt = -1;
+
   private volatile boolean stopped;
   private volatile String newest = "";
+  private volatile long readAt = -1;
+
+  /** The log of a service, as its primary has it. */
+  static final class ServiceLog {
+    final String service;
+    final AtomicLong last;
+
+    ServiceLog(String service, long last) {
+      this.service = service;
+      this.last = new AtomicLong(last);
+    }
+  }
 
   Member(
-      Record record, String service, String id, String host, boolean primary, String[] controls)
+      Record record, ServiceLog log, String id, String host, boolean primary, String[] controls)
       throws IOException {
     this.record = record;
-    this.service = service;
+    this.log = log;
+    this.service = log.service;
     this.id = id;
     this.primary = primary;
     this.controls = controls;
@@ -52,6 +69,23 @@
     return newest.equals(text);
   }
 
+  /** Receives nothing of the log from now on. */
+  void turnDeaf() {
+    deafAt = log.last.get();
+    record.write("member " + id + " receives nothing after " + log());
+  }
+
+  private long received() {
+    return deafAt < 0 ? log.last.get() : deafAt;
+  }
+
+  /** Returns the position of the log on which a read ran since the last call; negative if none. */
+  long takeReadAt() {
+    long taken = readAt;
+    readAt = -1;
+    return taken;
+  }
+
   void stop() throws IOException {
     stopped = true;
     socket.close();
@@ -120,8 +154,17 @@
         int blank = line.indexOf(' ', 6);
         String statement = line.substring(6, blank);
         String text = line.substring(blank + 1);
+        long floor = 0;
+        String floorText = "";
         if (text.startsWith("WAITPOS ")) {
-          text = text.substring(text.indexOf(' ', 8) + 1);
+          floorText = text.substring(0, text.indexOf(' ', 8) + 1);
+          floor = Long.parseLong(floorText.trim().substring(floorText.indexOf('.') + 1));
+          text = text.substring(floorText.length());
+        }
+        if (floor > received()) {
+          record.write("member " + id + " lacks " + floorText + "for " + statement);
+          write(out, "ERROR LAGGING " + log() + "\r\nREADY " + state + " " + log() + "\r\n");
+          continue;
         }
         String word = text.split(" ")[0];
         String complete = "COMPLETE -\r\n";
@@ -146,12 +189,15 @@
                   "ROW " + (primary ? "primary" : "replica") + " 3 " + log() + " 0 0 0 1\r\n"
                       + complete;
           case "READ", "EXEC", "WRITE", "COMMIT" -> {
-            record.write("member " + id + " runs " + statement + " " + text);
+            record.write(
+                "member " + id + " of " + service + " runs " + statement + " " + floorText + text
+                    + " on the log up to " + log());
+            readAt = word.equals("READ") ? received() : readAt;
             newest = text;
             Clock.sleep(workMillis);
             boolean commits = word.equals("COMMIT") ? wrote : isWrite && state.equals("I");
             if (commits) {
-              position.incrementAndGet();
+              log.last.incrementAndGet();
             }
             wrote = isWrite && state.equals("T") || wrote && !word.equals("COMMIT");
             state = word.equals("COMMIT") ? "I" : state;
@@ -173,7 +219,7 @@
   }
 
   private String log() {
-    return "3." + position.get();
+    return "3." + received();
   }
 
   private static void write(OutputStream out, String text) throws IOException {
--- a/review/standins/StopInTransaction.java
+++ b/review/standins/StopInTransaction.java
@@ -46,9 +46,10 @@
     if (!fleet.configure(Document.of(1, "ledger1"), 30_000)) {
       return NOT_RUN;
     }
-    Member primary = new Member(record, "ledger1", "i-1", "127.0.0.1", true, fleet.controls);
-    new Member(record, "ledger1", "i-2", "127.0.0.1", false, fleet.controls);
-    new Member(record, "ledger1", "i-3", "127.0.0.1", false, fleet.controls);
+    Member.ServiceLog log = new Member.ServiceLog("ledger1", 100);
+    Member primary = new Member(record, log, "i-1", "127.0.0.1", true, fleet.controls);
+    new Member(record, log, "i-2", "127.0.0.1", false, fleet.controls);
+    new Member(record, log, "i-3", "127.0.0.1", false, fleet.controls);
     if (!served(record, fleet)) {
       return NOT_RUN;
     }
