--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -32,7 +32,6 @@
   final Path folder;
   final String[] controls;
   final Map<String, Process> processes = new TreeMap<>();
-  final Map<String, String> promotions = new TreeMap<>();
   private final Path root;
   private final int hostBase = 10 + (int) (ProcessHandle.current().pid() % 5) * HOSTS_PER_RUN;
   private final int linkPort;
--- a/review/standins/Member.java
+++ b/review/standins/Member.java
@@ -33,7 +33,6 @@
   /** Position up to which a deaf replica has received the log; negative for one that is not deaf. */
   private volatile long deafAt = -1;
 
-  private volatile boolean stopped;
   private volatile String newest = "";
   private volatile long readAt = -1;
 
@@ -86,11 +85,6 @@
     return taken;
   }
 
-  void stop() throws IOException {
-    stopped = true;
-    socket.close();
-  }
-
   private static void daemon(String name, Runnable task) {
     Thread thread = new Thread(task, name);
     thread.setDaemon(true);
@@ -99,7 +93,7 @@
 
   private void sendHeartbeats() {
     int next = Math.abs(id.hashCode());
-    while (!stopped) {
+    while (true) {
       String body =
           "{\"service\":\"" + service + "\",\"address\":\"" + address
               + "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":5,\"state\":\"ready\","
@@ -117,7 +111,7 @@
   }
 
   private void accept() {
-    while (!stopped) {
+    while (true) {
       try {
         Socket connection = socket.accept();
         connection.setTcpNoDelay(true);
