--- a/review/standins/Document.java
+++ b/review/standins/Document.java
@@ -19,12 +19,15 @@
   }
 
   /**
-   * A document with two services. The route of "dbroyalty" leads to the first one, or to the second
-   * one once it has moved; "dbcatalogue" reads from the second.
+   * A document with two services. "dbroyalty" has a route to the first one; once it has moved, that
+   * route is removed and another one leads to the second. "dbcatalogue" reads from the second.
    */
   static String ofTwo(long version, String first, String second, boolean moved) {
     return "{\"version\":" + version + ",\"routes\":["
-        + route("dbroyalty", "primary", 1_000, 400, 1, moved ? second : first) + ","
+        + (moved
+            ? route("royalty-2", "dbroyalty", "primary", 1_000, 400, 1, second)
+            : route("royalty-1", "dbroyalty", "primary", 1_000, 400, 1, first))
+        + ","
         + route("dbfirst", "primary", 1_000, 400, 1, first) + ","
         + route("dbsecond", "primary", 1_000, 400, 1, second) + ","
         + route("dbcatalogue", "bounded_stale", 3_000, 1_000, 2, second)
@@ -39,9 +42,14 @@
 
   private static String route(
       String host, String type, int timeout, int target, int priority, String service) {
+    return route(host, host, type, timeout, target, priority, service);
+  }
+
+  private static String route(
+      String name, String host, String type, int timeout, int target, int priority, String service) {
     String staleness =
         type.equals("primary") ? "" : ",\"max-staleness-ms\":" + (type.equals("self") ? 2500 : 1500);
-    return "{\"name\":\"r-" + host + "\",\"hostname\":\"" + host
+    return "{\"name\":\"r-" + name + "\",\"hostname\":\"" + host
         + "\",\"path-prefix\":\"/\",\"route-type\":\"" + type + "\",\"timeout-ms\":" + timeout
         + ",\"target-latency-ms\":" + target + ",\"priority\":" + priority
         + ",\"service\":\"" + service + "\",\"attempts\":2" + staleness + "}";
--- a/review/standins/MovedRoute.java
+++ b/review/standins/MovedRoute.java
@@ -20,7 +20,7 @@
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int result;
-    try (Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
+    try (Record record = new Record(Path.of(arguments[1]));
         Fleet fleet = new Fleet(record, Path.of(arguments[0]), 3)) {
       result = play(record, fleet, trouble);
       record.write(
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -1,14 +1,17 @@
+import static java.nio.file.StandardOpenOption.APPEND;
+import static java.nio.file.StandardOpenOption.CREATE;
+
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** The record of a run: what was sent, answered and run, a line each with its time. */
+/** The record of a run: what was sent, answered and run, a line each with its time, added to the file. */
 final class Record implements AutoCloseable {
   private final PrintWriter lines;
 
   Record(Path file) throws IOException {
-    lines = new PrintWriter(Files.newBufferedWriter(file), true);
+    lines = new PrintWriter(Files.newBufferedWriter(file, CREATE, APPEND), true);
   }
 
   synchronized void write(String text) {
