Stop and floors: lines that tell the causes apart

The logs could not tell the hypotheses apart: whether the open transaction was skipped, never looked at, or rolled back without an end of its session; and whether the wrong floor of a read came from a sample, from the session's own commit, or from no floor.

- 'open transactions during the stop': how many rest, run a statement, or are relayed at half of the grace period.
- 'log position of primary lower than known', and streamcourse_primary_positions_lower: a primary's position below one that was known before the statement was sent; with the service under which it is recorded and the member it is from.

--- a/server/src/main/java/org/streamcourse/connection/session/ClientSession.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientSession.java
@@ -41,23 +41,17 @@
  * <p>All methods run on the proxy's worker.
  */
 public final class ClientSession {
-  /** Maximum wait for the node's first configuration; callers time out somewhat later. */
-  private static final long MAX_START_WAIT_MILLIS = 1_500;
-
-  private static final long START_POLL_MILLIS = 30;
   private static final int MAX_QUEUED_STATEMENTS = 64;
   private static final String TOO_MANY_NAMES =
       "a session can have at most " + SessionNames.MAX_NAMES + " names";
   private static final String NO_PREPARED_STATEMENT = "no prepared statement ";
-  private static final String UNKNOWN_KEY = "no tenant has this key";
-  private static final String KEYS_NOT_CONFIRMED =
-      "this node cannot confirm the keys in force; retry-after-ms=500";
 
   private final SessionNode node;
   private final ClientChannel channel;
   private final long number;
   private final Deque<StatementRequest> queued = new ArrayDeque<>();
   private final SessionNames names = new SessionNames();
+  private final SessionStart start;
   private TermPosition lastCommit = TermPosition.ZERO;
   private String database;
   private KeyDigest key;
@@ -67,7 +61,6 @@
   private LimitedExecution execution;
   private long currentSinceMillis;
   private Disposable timer = () -> {};
-  private long waitedMillis;
   private boolean draining;
   private boolean ended;
 
@@ -82,6 +75,7 @@
     this.node = node;
     this.channel = channel;
     this.number = number;
+    this.start = new SessionStart(node, new StartResult());
   }
 
   // ---- messages from the caller ----
@@ -95,8 +89,8 @@
     if (ended) {
       return;
     }
-    if (message instanceof ClientMessage.Start start) {
-      start(start);
+    if (message instanceof ClientMessage.Start request) {
+      start(request);
     } else if (message instanceof ClientMessage.Query query) {
       query(query.request());
     } else if (message instanceof ClientMessage.Unreadable unreadable) {
@@ -106,48 +100,33 @@
     }
   }
 
-  private void start(ClientMessage.Start start) {
+  private void start(ClientMessage.Start message) {
     if (database != null) {
       refuse(AnswerCode.MALFORMED, "the session has started already");
-    } else if (!node.isServing()) {
-      waitForConfiguration(start);
     } else {
-      startAt(start, document().route(start.database()));
+      start.start(message);
     }
   }
 
-  private void startAt(ClientMessage.Start start, Optional<RouteRule> route) {
-    if (route.isEmpty()) {
-      refuse(AnswerCode.UNKNOWN_DATABASE, "unknown database " + start.database());
-    } else if (!mayCheckKeys(route.get())) {
-      refuse(AnswerCode.BUSY, KEYS_NOT_CONFIRMED);
-    } else if (document().callerOf(route.get(), start.key()).isEmpty()) {
-      refuse(AnswerCode.NOT_ALLOWED, UNKNOWN_KEY);
-    } else {
-      database = start.database();
-      key = start.key();
+  /** Receives the result of the session's start. */
+  private final class StartResult implements SessionStart.Listener {
+    @Override
+    public void started(String startedDatabase, KeyDigest startedKey) {
+      database = startedDatabase;
+      key = startedKey;
       channel.welcome();
     }
+
+    @Override
+    public void refused(AnswerCode code, String reason) {
+      refuse(code, reason);
+    }
   }
 
   private RoutingDocument document() {
     return node.image().document();
   }
 
-  private boolean mayCheckKeys(RouteRule route) {
-    return !route.needsKey() || node.hasConfirmedKeys();
-  }
-
-  /** Retries the start of the session, since a starting node receives its configuration shortly. */
-  private void waitForConfiguration(ClientMessage.Start start) {
-    if (waitedMillis >= MAX_START_WAIT_MILLIS) {
-      refuse(AnswerCode.BUSY, "this node has no configuration in force yet; retry-after-ms=500");
-      return;
-    }
-    waitedMillis += START_POLL_MILLIS;
-    timer = node.worker().schedule(START_POLL_MILLIS, () -> receive(start));
-  }
-
   private void refuse(AnswerCode code, String reason) {
     node.log().session(number, database == null ? "" : database, code + ": " + reason);
     channel.refuse(Answer.error(code, reason, state()));
@@ -184,6 +163,16 @@
     endIfDrained();
   }
 
+  /** Returns whether a transaction is open and no statement is running. */
+  public boolean hasIdleTransaction() {
+    return transaction != null && current == null;
+  }
+
+  /** Returns whether a transaction is open and a statement is running. */
+  public boolean hasRunningTransaction() {
+    return transaction != null && current != null;
+  }
+
   /** Rolls back an open transaction and ends its session, unless a statement is running. */
   public void abandon() {
     if (transaction != null && current == null) {
@@ -203,6 +192,7 @@
       return;
     }
     ended = true;
+    start.cancel();
     timer.dispose();
     if (execution != null) {
       execution.cancel();
@@ -296,13 +286,13 @@
       return;
     }
     RouteRule rule = route.orElseGet(() -> context.route());
-    if (!mayCheckKeys(rule)) {
-      refuseStatement(AnswerCode.BUSY, KEYS_NOT_CONFIRMED);
+    if (!SessionStart.mayCheckKeys(node, rule)) {
+      refuseStatement(AnswerCode.BUSY, SessionStart.KEYS_NOT_CONFIRMED);
       return;
     }
     Optional<TenantId> tenant = document().callerOf(rule, key);
     if (tenant.isEmpty() || !mayContinue(tenant.get())) {
-      refuseStatement(AnswerCode.NOT_ALLOWED, UNKNOWN_KEY);
+      refuseStatement(AnswerCode.NOT_ALLOWED, SessionStart.UNKNOWN_KEY);
       return;
     }
     String traceId = request.id() + "@" + number;
@@ -434,7 +424,8 @@
     boolean wrote = done.hasWritten();
     if (answer.isComplete() && wrote && answer.position() != null) {
       lastCommit = lastCommit.max(answer.position());
-      node.members().noteCommit(context.route().service(), sentMillis, answer.position());
+      node.members()
+          .recordCommit(context, done.member(), sentMillis, answer.position(), node.log());
     }
     done.releaseLink();
     answer(answer.withState(SessionState.IDLE));
--- a/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
@@ -6,6 +6,7 @@
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.routing.StatementContext;
 import org.streamcourse.request.statement.Answer;
+import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.TenantId;
 import reactor.core.Disposable;
 
@@ -69,6 +70,11 @@
     return tenant;
   }
 
+  /** Returns the member of an open transaction. */
+  MemberId member() {
+    return link.member();
+  }
+
   boolean hasWritten() {
     return wrote;
   }
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -40,6 +40,10 @@
         "streamcourse_late_reads_not_repeated",
         "Reads with a late answer that the budget did not allow to repeat.",
         log::lateRetriesDenied);
+    endpoint.gauge(
+        "streamcourse_primary_positions_lower",
+        "Log positions of primaries that were lower than the newest one known for the service.",
+        log::lowerPositions);
     endpoint.gauge(
         "streamcourse_relayed_streams",
         "Other nodes' statements and transactions on this node's member links.",
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -1,9 +1,14 @@
 package org.streamcourse.process;
 
+import static net.logstash.logback.argument.StructuredArguments.keyValue;
+
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberLinks;
 import org.streamcourse.connection.peer.PeerHandler;
@@ -47,6 +52,8 @@
  * <p>All methods except the getters run on the node's worker.
  */
 public final class StatementProxyNode implements PeerHandler, SessionNode {
+  private static final Logger LOG = LoggerFactory.getLogger(StatementProxyNode.class);
+
   private static final long HEALTH_CHECK_MILLIS = 100;
   private static final long SESSION_START_TIMEOUT_MILLIS = 10_000;
   private static final long RECENT_CONTACT_MILLIS = 1_000;
@@ -231,9 +238,18 @@
 
   /** Abandons the idle transactions of all sessions. */
   public void abandonTransactions() {
+    LOG.info(
+        "open transactions during the stop {} {} {}",
+        keyValue("idle", count(ClientSession::hasIdleTransaction)),
+        keyValue("running", count(ClientSession::hasRunningTransaction)),
+        keyValue("relayed", relayServer.streams()));
     List.copyOf(sessions).forEach(ClientSession::abandon);
   }
 
+  private long count(Predicate<ClientSession> condition) {
+    return sessions.stream().filter(condition).count();
+  }
+
   /**
    * Returns the number of open sessions.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberCall.java
@@ -279,7 +279,8 @@
     }
     members.markPrimary(links.member().id());
     if (answer.position() != null) {
-      members.recordPrimaryPosition(sentMillis, answer.position());
+      members.recordPrimaryPosition(
+          context, links.member().id(), sentMillis, answer.position(), log);
     }
   }
 }
--- a/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
@@ -147,14 +147,21 @@
   /**
    * Records the log position of a primary at which it committed a transaction.
    *
-   * @param service service's name
+   * @param context the commit
+   * @param member member that committed
    * @param sentMillis time at which the commit was sent
    * @param position log position in the answer
+   * @param log request log
    */
-  public void noteCommit(String service, long sentMillis, TermPosition position) {
-    ServiceMembers members = services.get(service);
+  public void recordCommit(
+      StatementContext context,
+      MemberId member,
+      long sentMillis,
+      TermPosition position,
+      RequestLog log) {
+    ServiceMembers members = services.get(context.route().service());
     if (members != null) {
-      members.recordPrimaryPosition(sentMillis, position);
+      members.recordPrimaryPosition(context, member, sentMillis, position, log);
     }
   }
 
--- a/server/src/main/java/org/streamcourse/request/routing/PrimaryPositions.java
+++ b/server/src/main/java/org/streamcourse/request/routing/PrimaryPositions.java
@@ -18,7 +18,7 @@
   /** Least time between two samples that are kept. */
   private static final long MIN_INTERVAL_MILLIS = 20;
 
-  private record Sample(long requestedMillis, TermPosition position) {}
+  private record Sample(long requestedMillis, long receivedMillis, TermPosition position) {}
 
   private final Deque<Sample> samples = new ArrayDeque<>();
 
@@ -26,14 +26,15 @@
    * Adds a sample. The answer must show that the member was primary when it answered.
    *
    * @param requestedMillis time at which the statement was sent
+   * @param receivedMillis time at which the answer arrived
    * @param position log position in the answer
    */
-  public void add(long requestedMillis, TermPosition position) {
+  public void add(long requestedMillis, long receivedMillis, TermPosition position) {
     Sample last = samples.peekLast();
     if (last != null && requestedMillis - last.requestedMillis() < MIN_INTERVAL_MILLIS) {
       return;
     }
-    samples.addLast(new Sample(requestedMillis, position));
+    samples.addLast(new Sample(requestedMillis, receivedMillis, position));
     while (requestedMillis - samples.peekFirst().requestedMillis() > RETENTION_MILLIS) {
       samples.pollFirst();
     }
@@ -72,6 +73,23 @@
     return 0;
   }
 
+  /**
+   * Finds the newest position that was known at a time. Every later request to the primary is
+   * answered with this position or a later one, unless the primary has changed.
+   *
+   * @param millis the time
+   * @return position, or {@link TermPosition#ZERO} when none was known
+   */
+  TermPosition knownAt(long millis) {
+    TermPosition known = TermPosition.ZERO;
+    for (Sample sample : samples) {
+      if (sample.receivedMillis() <= millis) {
+        known = known.max(sample.position());
+      }
+    }
+    return known;
+  }
+
   /**
    * Returns the newest position.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
+++ b/server/src/main/java/org/streamcourse/request/routing/RequestLog.java
@@ -12,6 +12,7 @@
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.TermPosition;
 
 /**
  * Logs the decisions about callers' statements: one line for each refusal, failure and change of
@@ -33,6 +34,7 @@
   private long leftOut;
   private long lateRetries;
   private long lateRetriesDenied;
+  private long lowerPositions;
 
   /**
    * Creates a log.
@@ -251,6 +253,29 @@
     }
   }
 
+  /**
+   * Logs that the answer of a primary contained a lower log position than its service's primary had
+   * before the statement was sent: the primary has changed, or the position is of another service.
+   *
+   * @param context statement that was answered
+   * @param member member that answered
+   * @param position log position in the answer
+   * @param known newest position known when the statement was sent
+   */
+  void lowerPosition(
+      StatementContext context, MemberId member, TermPosition position, TermPosition known) {
+    lowerPositions++;
+    if (budget.take()) {
+      LOG.warn(
+          "log position of primary lower than known {} {} {} {} {}",
+          keyValue("request", context.traceId()),
+          keyValue("service", context.route().service()),
+          keyValue("member", member),
+          keyValue("position", position),
+          keyValue("known", known));
+    }
+  }
+
   /** Logs that this node answers a statement with an error of its own. */
   void refused(
       StatementContext context,
@@ -349,6 +374,15 @@
     return lateRetriesDenied;
   }
 
+  /**
+   * Counts log positions of primaries that were lower than the newest one known for the service.
+   *
+   * @return count since the start
+   */
+  public long lowerPositions() {
+    return lowerPositions;
+  }
+
   /**
    * Counts the times that a member did not run a statement or failed a read.
    *
--- a/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
@@ -235,11 +235,26 @@
    * @param position log position in the answer
    */
   void recordPrimaryPosition(long sentMillis, TermPosition position) {
-    primaryPositions.add(sentMillis, position);
-    long age = worker.now() - sentMillis;
+    long now = worker.now();
+    primaryPositions.add(sentMillis, now, position);
+    long age = now - sentMillis;
     members.values().forEach(links -> links.state().onPrimaryPosition(position, age));
   }
 
+  /** Records the log position of the primary after a statement that only a primary completes. */
+  void recordPrimaryPosition(
+      StatementContext context,
+      MemberId member,
+      long sentMillis,
+      TermPosition position,
+      RequestLog log) {
+    TermPosition known = primaryPositions.knownAt(sentMillis);
+    if (!position.reaches(known)) {
+      log.lowerPosition(context, member, position, known);
+    }
+    recordPrimaryPosition(sentMillis, position);
+  }
+
   /** Records the answer time and log position of a member. */
   void recordAnswer(MemberId id, String database, long latencyMillis, TermPosition position) {
     AnswerStats stats = stats(id);
--- a/server/src/test/java/org/streamcourse/request/routing/MemberChoiceLoadTest.java
+++ b/server/src/test/java/org/streamcourse/request/routing/MemberChoiceLoadTest.java
@@ -290,7 +290,7 @@
       }
 
       private void sample(long sentMillis, TermPosition position) {
-        positions.add(sentMillis, position);
+        positions.add(sentMillis, now, position);
         known.forEach(each -> each.onPrimaryPosition(position, now - sentMillis));
       }
 
