Planned stop: a transaction that is busy at half of the grace period is ended with an answer (LOST)

Cause: StatementProxyProcess.stop abandoned transactions once. ClientSession.abandon skipped a session whose statement was running and nothing remembered that its transaction had to end. What was outstanding at the exit got no answer at all.

Evidence: the lines added before say 'idle=0 running=1' at 3.0 s and 'stopped with 1 open sessions'; so the call came in time (not: late, or never), and skipped the one session there was.

Change: from half of the grace period on each session refuses statements, at once, for good, and with a time to come back: BUSY outside of a transaction, ABORTED within one, after the roll-back. A statement that is running is still answered. A COMMIT still runs if its time-out ends before the exit, since it ends the transaction; else it is refused as well, for an answer in doubt is worse than a promise. Idle transactions are no longer cut without a word: they stay until their next statement. Before the exit whatever is outstanding is answered (not run: BUSY; transaction: ABORTED; write or commit that may have run: in doubt, without a time; read: TIMEOUT with one), queued statements are refused, and a transaction that rests gets ABORTED without a statement. The steps are a class of their own, StatementProxyStop, which tests can run.

Why it works: the decision is a state of the session and is looked at for each statement, not an event that is over.

All tests of server pass.

--- a/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
@@ -96,6 +96,15 @@
     link.run(context.command(link, null), running);
   }
 
+  /**
+   * Ends the running statement without the member's answer, and closes the member link.
+   *
+   * @param reason description for the caller
+   */
+  void giveUp(String reason) {
+    running.giveUp(reason);
+  }
+
   /**
    * Returns the member link to its pool after rolling back an open transaction, or closes the link
    * when an answer is outstanding.
@@ -159,10 +168,14 @@
 
     private void timedOut() {
       if (!ended) {
-        end();
-        closeLink();
-        listener.lost("the member did not answer in time");
+        giveUp("the member did not answer in time");
       }
     }
+
+    private void giveUp(String reason) {
+      end();
+      closeLink();
+      listener.lost(reason);
+    }
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
+++ b/server/src/main/java/org/streamcourse/connection/session/LimitedExecution.java
@@ -58,6 +58,16 @@
     }
   }
 
+  /** Answers the operation now, because the process is about to exit. */
+  void giveUp(String cause) {
+    if (execution != null) {
+      execution.giveUp(cause);
+    } else {
+      cancel();
+      listener.finished(Answer.refusal(AnswerCode.BUSY, cause, Answer.RETRY_AFTER_MILLIS));
+    }
+  }
+
   @Override
   public TenantId tenant() {
     return context.tenant();
--- a/server/src/main/java/org/streamcourse/connection/session/SessionNames.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionNames.java
@@ -3,7 +3,11 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.streamcourse.request.statement.Answer;
+import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.request.statement.PreparedShape;
+import org.streamcourse.request.statement.SessionState;
+import org.streamcourse.request.statement.Statement;
 
 /** The values and prepared statements of one session, by name. */
 final class SessionNames {
@@ -23,14 +27,37 @@
     return prepared.get(name);
   }
 
-  /** Sets a value; returns false when the session has too many. */
-  boolean set(String name, String value) {
-    return put(values, name, value);
+  /**
+   * Runs a statement that only changes values or prepared statements; no member runs it.
+   *
+   * @param statement the statement
+   * @param state state of the session, which stays the same
+   * @return answer, or null for other statements
+   */
+  Answer run(Statement statement, SessionState state) {
+    if (statement instanceof Statement.SetValue set) {
+      return answer(put(values, set.name(), set.value()), state);
+    }
+    if (statement instanceof Statement.Prepare prepare) {
+      return answer(put(prepared, prepare.name(), prepare.shape()), state);
+    }
+    if (statement instanceof Statement.Deallocate deallocate) {
+      boolean known = prepared.remove(deallocate.name()) != null;
+      return known ? Answer.local(state) : unknownName(deallocate.name(), state);
+    }
+    return null;
   }
 
-  /** Prepares a statement; returns false when the session has too many. */
-  boolean prepare(String name, PreparedShape shape) {
-    return put(prepared, name, shape);
+  private static Answer answer(boolean done, SessionState state) {
+    return done
+        ? Answer.local(state)
+        : Answer.error(
+            AnswerCode.TOO_LARGE, "a session can have at most " + MAX_NAMES + " names", state);
+  }
+
+  /** Returns the answer to a statement with the name of no prepared statement. */
+  static Answer unknownName(String name, SessionState state) {
+    return Answer.error(AnswerCode.UNKNOWN_NAME, "no prepared statement " + name, state);
   }
 
   private static <V> boolean put(Map<String, V> table, String name, V value) {
@@ -40,9 +67,4 @@
     }
     return room;
   }
-
-  /** Removes a prepared statement; returns whether it existed. */
-  boolean deallocate(String name) {
-    return prepared.remove(name) != null;
-  }
 }
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -236,14 +236,27 @@
     List.copyOf(sessions).forEach(ClientSession::drain);
   }
 
-  /** Abandons the idle transactions of all sessions. */
-  public void abandonTransactions() {
+  /**
+   * Refuses statements of all sessions from now on, but for the end of an open transaction.
+   *
+   * @param exitMillis worker time at which the process exits
+   */
+  public void refuseStatements(long exitMillis) {
+    LOG.info(
+        "refuses statements during the stop {} {} {}",
+        keyValue("idleTransactions", count(ClientSession::hasIdleTransaction)),
+        keyValue("runningTransactions", count(ClientSession::hasRunningTransaction)),
+        keyValue("relayedStreams", relayServer.streams()));
+    sessions.forEach(session -> session.refuseStatements(exitMillis));
+  }
+
+  /** Answers all statements that have no answer yet, and ends all sessions. */
+  public void terminateSessions() {
     LOG.info(
-        "open transactions during the stop {} {} {}",
-        keyValue("idle", count(ClientSession::hasIdleTransaction)),
-        keyValue("running", count(ClientSession::hasRunningTransaction)),
-        keyValue("relayed", relayServer.streams()));
-    List.copyOf(sessions).forEach(ClientSession::abandon);
+        "ends sessions during the stop {} {}",
+        keyValue("sessions", sessions.size()),
+        keyValue("idleTransactions", count(ClientSession::hasIdleTransaction)));
+    List.copyOf(sessions).forEach(ClientSession::terminate);
   }
 
   private long count(Predicate<ClientSession> condition) {
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.connection.member.MemberProtocol;
@@ -23,9 +25,6 @@
 public final class StatementProxyProcess {
   private static final Logger LOG = LoggerFactory.getLogger(StatementProxyProcess.class);
 
-  /** Time until the platform stops sending callers to a node that reports not being ready. */
-  private static final long READINESS_LAG_MILLIS = 2_300;
-
   /**
    * Incarnation number of every start of the process. A node without a data folder stores nothing
    * that a later start could conflict with, so the number needs neither to increase nor a clock.
@@ -38,11 +37,10 @@
   /** Fraction of the revocation time for which keys are accepted without a confirmation. */
   private static final double REVOCATION_SHARE = 0.8;
 
-  /** Time between checks for open sessions during a stop. */
-  private static final long STOP_POLL_MILLIS = 50;
+  private static final Duration LOOP_STOP = Duration.ofMillis(50);
 
-  /** Fraction of the grace period reserved for the exit of the process. */
-  private static final double STOP_RESERVE = 0.15;
+  /** Time for which the event loop may take to run a task during a stop. */
+  private static final long LOOP_TIMEOUT_MILLIS = 1_000;
 
   private final StatementProxySettings settings;
   private final SingleLoop loop = new SingleLoop();
@@ -157,32 +155,22 @@
             ControllerAddresses.names(changed.controllerSeeds(), changed.controllerLinkPort()));
   }
 
-  /**
-   * Stops without interrupting a request: the node first reports that it is not ready, then
-   * sessions end as soon as they are idle. Open transactions are abandoned after half of the grace
-   * period.
-   */
+  /** Stops within the grace period; see {@link StatementProxyStop} for the steps. */
   public void stop() throws InterruptedException {
-    long startedAt = node.worker().now();
     long graceMillis = TimeUnit.SECONDS.toMillis(settings.graceSeconds());
+    long killedAt = node.worker().now() + graceMillis;
     LOG.info("stops with {} open sessions", node.openSessions());
-    node.beginStop();
-    TimeUnit.MILLISECONDS.sleep(Math.min(READINESS_LAG_MILLIS, graceMillis / 2));
-    onLoop(node::drainSessions);
-    boolean abandoned = false;
-    long limit = Math.round(graceMillis * (1 - STOP_RESERVE));
-    while (node.openSessions() + node.relayedStreams() > 0
-        && node.worker().now() - startedAt < limit) {
-      if (!abandoned && node.worker().now() - startedAt > graceMillis / 2) {
-        abandoned = true;
-        onLoop(node::abandonTransactions);
-      }
-      TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+    AtomicReference<StatementProxyStop> stop = new AtomicReference<>();
+    AtomicBoolean done = new AtomicBoolean();
+    onLoop(() -> stop.set(new StatementProxyStop(node, graceMillis)));
+    while (!done.get() && node.worker().now() < killedAt) {
+      TimeUnit.MILLISECONDS.sleep(StatementProxyStop.POLL_MILLIS);
+      onLoop(() -> done.set(stop.get().advance()));
     }
     LOG.info("stopped with {} open sessions", node.openSessions());
     port.stop();
     network.stop();
-    loop.disposeLater(Duration.ZERO, Duration.ofMillis(STOP_POLL_MILLIS)).onErrorComplete().block();
+    loop.disposeLater(Duration.ZERO, LOOP_STOP).onErrorComplete().block();
   }
 
   private void onLoop(Runnable task) throws InterruptedException {
@@ -193,6 +181,6 @@
               task.run();
               done.countDown();
             });
-    done.await(1, TimeUnit.SECONDS);
+    done.await(LOOP_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 }
--- a/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementAttempt.java
@@ -35,8 +35,6 @@
  * <p>All methods run on the proxy's worker.
  */
 final class StatementAttempt {
-  private static final long RETRY_AFTER_MILLIS = 100;
-
   /** Rank added to reads at the primary that a replica could serve; others get links first. */
   private static final int DIVERTED_RANK = 1_000;
 
@@ -44,7 +42,7 @@
   private final MemberTable table;
   private final RequestLog log;
   private final StatementContext context;
-  private final Listener listener;
+  private final AttemptListener listener;
   private final StatementTimes times;
   private final ReadSearch search;
   private final ImageUpdateTimer imageUpdateTimer;
@@ -63,16 +61,6 @@
   private String lastCause = "no member is known";
   private Disposable timeout = () -> {};
 
-  /** Receives the progress and the result of the attempt. */
-  interface Listener extends ExecutionListener {
-    /**
-     * Called when a read, or the beginning of a read-only transaction, was sent to a member.
-     *
-     * @param member the member
-     */
-    void sent(MemberId member);
-  }
-
   /**
    * Creates an attempt.
    *
@@ -91,7 +79,7 @@
       StatementContext context,
       StatementPlan plan,
       StatementTimes times,
-      Listener listener) {
+      AttemptListener listener) {
     this.worker = worker;
     this.table = table;
     this.log = log;
@@ -381,7 +369,7 @@
     @Override
     public void noSlot(String cause) {
       call = null;
-      noLink(cause, Math.max(RETRY_AFTER_MILLIS, links.estimatedWaitMillis()));
+      noLink(cause, Math.max(Answer.RETRY_AFTER_MILLIS, links.estimatedWaitMillis()));
     }
   }
 
@@ -418,7 +406,7 @@
     } else if (times.waitedMillis(worker.now()) < times.longestWaitMillis()) {
       waitForChange(lastCause);
     } else {
-      refuse(AnswerCode.BUSY, "the primary is busy: " + answer.text(), RETRY_AFTER_MILLIS);
+      refuse(AnswerCode.BUSY, "the primary is busy: " + answer.text(), Answer.RETRY_AFTER_MILLIS);
     }
   }
 
@@ -462,22 +450,32 @@
     if (done) {
       // Another attempt has already delivered the answer.
       cancel();
-    } else if (call == null) {
-      refuse(AnswerCode.BUSY, lastCause, RETRY_AFTER_MILLIS);
     } else {
-      callTimedOut();
+      String notRunCause = call == null ? lastCause : call.notRunCause();
+      endUnanswered(notRunCause, "the member did not answer in time", 0);
+    }
+  }
+
+  /** Ends the attempt with an answer now, because the process is about to exit. */
+  void giveUp(String cause) {
+    if (!done) {
+      boolean notRun = call == null || call.notRunCause() != null;
+      endUnanswered(notRun ? cause : null, cause, Answer.RETRY_AFTER_MILLIS);
     }
   }
 
-  private void callTimedOut() {
-    String notRunCause = call.notRunCause();
-    call.drop();
+  /** Ends the attempt; {@code notRunCause} is null when a member may have run the statement. */
+  private void endUnanswered(String notRunCause, String cause, long readRetryAfterMillis) {
+    if (call != null) {
+      call.drop();
+    }
     if (notRunCause != null) {
-      refuse(AnswerCode.BUSY, notRunCause, RETRY_AFTER_MILLIS);
-      return;
+      refuse(AnswerCode.BUSY, notRunCause, Answer.RETRY_AFTER_MILLIS);
+    } else if (plan == StatementPlan.WRITE) {
+      refuse(AnswerCode.OUTCOME_UNKNOWN, cause, 0);
+    } else {
+      refuse(AnswerCode.TIMEOUT, cause, readRetryAfterMillis);
     }
-    AnswerCode code = plan == StatementPlan.WRITE ? AnswerCode.OUTCOME_UNKNOWN : AnswerCode.TIMEOUT;
-    refuse(code, "the member did not answer in time", 0);
   }
 
   private void refuse(AnswerCode code, String cause, long retryAfterMillis) {
--- a/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementExecution.java
@@ -78,7 +78,7 @@
         context,
         plan,
         new StatementTimes(startedMillis, context.route()),
-        new AttemptListener(isFirst));
+        new AttemptResult(isFirst));
   }
 
   /** Starts the first attempt. */
@@ -99,6 +99,19 @@
     }
   }
 
+  /**
+   * Answers the statement now, because the process is about to exit.
+   *
+   * @param cause description for the caller
+   */
+  public void giveUp(String cause) {
+    StatementAttempt other = second;
+    first.giveUp(cause);
+    if (other != null) {
+      other.giveUp(cause);
+    }
+  }
+
   // ---- late answers ----
 
   private void sent(MemberId member) {
@@ -135,10 +148,10 @@
   // ---- ends ----
 
   /** Handles the result of one attempt. */
-  private final class AttemptListener implements StatementAttempt.Listener {
+  private final class AttemptResult implements AttemptListener {
     private final boolean isFirst;
 
-    AttemptListener(boolean isFirst) {
+    AttemptResult(boolean isFirst) {
       this.isFirst = isFirst;
     }
 
--- a/server/src/main/java/org/streamcourse/request/statement/Answer.java
+++ b/server/src/main/java/org/streamcourse/request/statement/Answer.java
@@ -14,6 +14,9 @@
  */
 public record Answer(
     List<String> rows, AnswerCode code, String text, SessionState state, TermPosition position) {
+  /** Time after which to retry a statement that was not run, unless more is known. */
+  public static final long RETRY_AFTER_MILLIS = 100;
+
   /** Signature of statements that no member runs. */
   public static final String NO_SIGNATURE = "-";
 
