Planned stop: relayed transactions end with an answer, and work that waits is refused (LOST, related path)

Change: from half of the grace period on a holder answers the next step of a relayed transaction with ABORTED and a time to come back, after rolling it back; a running step is still answered. Before the exit, streams of which the member has run nothing are refused, so that their nodes use another holder, and the others are ended by a message.

Why it works: an answer or a refusal names the stream and what became of it; the loss of a link can't.

--- a/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayServer.java
@@ -36,6 +36,8 @@
    */
   private static final long OBSERVER_RETENTION_MILLIS = 30_000;
 
+  static final String STOPPING = "the node is stopping";
+
   /** Finds this node's own links. */
   public interface Links {
     /**
@@ -57,6 +59,7 @@
   private final Map<String, Map<Long, RelayedWork>> streams = new TreeMap<>();
   private final Map<String, Long> senders = new TreeMap<>();
   private boolean stopping;
+  private boolean refusesSteps;
 
   /**
    * Creates a server without streams.
@@ -81,6 +84,26 @@
     stopping = true;
   }
 
+  /**
+   * Refuses further steps of open transactions from now on, because the process exits soon; running
+   * steps are still answered.
+   */
+  public void refuseSteps() {
+    refusesSteps = true;
+  }
+
+  /** Ends all streams, because the process is about to exit. */
+  public void endStreams() {
+    List<RelayedWork> open = new ArrayList<>();
+    streams.values().forEach(ofSender -> open.addAll(ofSender.values()));
+    open.forEach(work -> work.stop(STOPPING));
+  }
+
+  /** Returns whether steps that arrive now are refused. */
+  boolean refusesSteps() {
+    return refusesSteps;
+  }
+
   /**
    * Returns the number of streams.
    *
@@ -139,8 +162,7 @@
     senders.put(sender, worker.now());
     MemberLinks held = stopping ? null : links.held(open.service(), open.member(), open.standIn());
     if (held == null) {
-      String cause =
-          stopping ? "the node is stopping" : "the node holds no connections to the member";
+      String cause = stopping ? STOPPING : "the node holds no connections to the member";
       refuse(sender, open, RelayMessage.Refusal.NOT_HELD, cause, 0, null);
       return;
     }
@@ -163,6 +185,11 @@
         new RelayMessage.Refused(open.stream(), refusal, cause, retryAfterMillis, observation));
   }
 
+  /** Logs that the next step of an open transaction is refused. */
+  void refusedStep(String sender, RelayMessage.Open open) {
+    log.refusedForOther(open, sender, STOPPING);
+  }
+
   /** Logs that a stream ended while an answer was outstanding. */
   void endedUnanswered(String sender, RelayMessage.Open open, boolean hadLink, String cause) {
     log.endedUnanswered(open, sender, hadLink, cause);
@@ -228,7 +255,8 @@
     }
   }
 
-  private void abandon(RelayedWork work, String cause) {
+  /** Ends work while answers may be outstanding, and tells its sender. */
+  void abandon(RelayedWork work, String cause) {
     work.abandon(cause);
     send(work.sender(), new RelayMessage.Ended(work.stream(), cause));
   }
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -166,11 +166,35 @@
     values = changed == null ? values : changed;
     steps.addAll(more);
     lastActivityMillis = server.now();
-    if (link != null && !working) {
+    if (link == null || working) {
+      return;
+    }
+    if (server.refusesSteps() && !(steps.peek() instanceof RelayMessage.Finish)) {
+      refuseSteps();
+    } else {
       next();
     }
   }
 
+  /** Rolls back the transaction and answers its next step, because this node is stopping. */
+  private void refuseSteps() {
+    server.refusedStep(sender, open);
+    steps.clear();
+    answers.add(
+        Answer.refusal(AnswerCode.ABORTED, RelayServer.STOPPING, Answer.RETRY_AFTER_MILLIS));
+    sendAnswers();
+    end();
+  }
+
+  private void sendAnswers() {
+    started = true;
+    server.send(
+        sender,
+        new RelayMessage.Answered(
+            open.stream(), List.copyOf(answers), links.state().observation()));
+    answers.clear();
+  }
+
   private void next() {
     RelayMessage.Step step = steps.poll();
     if (step == null) {
@@ -272,15 +296,6 @@
       start();
     }
 
-    private void sendAnswers() {
-      started = true;
-      server.send(
-          sender,
-          new RelayMessage.Answered(
-              open.stream(), List.copyOf(answers), links.state().observation()));
-      answers.clear();
-    }
-
     @Override
     public void notSent(String cause) {
       if (!ended && !started) {
@@ -303,6 +318,22 @@
     }
   }
 
+  /** Ends the work, because the process is about to exit; work that has not begun is refused. */
+  void stop(String cause) {
+    if (ended) {
+      return;
+    }
+    boolean notBegun = !started && (link == null || link.cancelWaiting());
+    if (!notBegun) {
+      server.abandon(this, cause);
+      return;
+    }
+    if (link != null) {
+      links.releaseRolledBack(link);
+    }
+    refuse(RelayMessage.Refusal.NOT_HELD, cause, 0);
+  }
+
   /** Ends the work while answers may be outstanding. */
   void abandon(String cause) {
     boolean unanswered = link == null || working;
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -237,7 +237,8 @@
   }
 
   /**
-   * Refuses statements of all sessions from now on, but for the end of an open transaction.
+   * Refuses statements of all sessions from now on, but for the end of an open transaction, and
+   * further statements of other nodes' transactions.
    *
    * @param exitMillis worker time at which the process exits
    */
@@ -248,15 +249,17 @@
         keyValue("runningTransactions", count(ClientSession::hasRunningTransaction)),
         keyValue("relayedStreams", relayServer.streams()));
     sessions.forEach(session -> session.refuseStatements(exitMillis));
+    relayServer.refuseSteps();
   }
 
-  /** Answers all statements that have no answer yet, and ends all sessions. */
-  public void terminateSessions() {
+  /** Answers all statements that have no answer yet, and ends all sessions and relayed streams. */
+  public void terminate() {
     LOG.info(
         "ends sessions during the stop {} {}",
         keyValue("sessions", sessions.size()),
         keyValue("idleTransactions", count(ClientSession::hasIdleTransaction)));
     List.copyOf(sessions).forEach(ClientSession::terminate);
+    relayServer.endStreams();
   }
 
   private long count(Predicate<ClientSession> condition) {
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -168,6 +168,8 @@
       onLoop(() -> done.set(stop.get().advance()));
     }
     LOG.info("stopped with {} open sessions", node.openSessions());
+    // Peers read the last answers before they find the links closed.
+    TimeUnit.MILLISECONDS.sleep(StatementProxyStop.POLL_MILLIS);
     port.stop();
     network.stop();
     loop.disposeLater(Duration.ZERO, LOOP_STOP).onErrorComplete().block();
--- a/server/src/main/java/org/streamcourse/process/StatementProxyStop.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyStop.java
@@ -68,7 +68,7 @@
     boolean draining = step == Step.DRAIN || step == Step.REFUSE;
     boolean idle = node.openSessions() + node.relayedStreams() == 0;
     if (draining && (idle || elapsed >= exitMillis)) {
-      node.terminateSessions();
+      node.terminate();
       step = Step.DONE;
     }
     return step == Step.DONE;
--- a/server/src/test/java/org/streamcourse/request/routing/RelayFleet.java
+++ b/server/src/test/java/org/streamcourse/request/routing/RelayFleet.java
@@ -13,6 +13,7 @@
 import org.streamcourse.request.statement.Statement;
 import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.request.statement.StatementRequest;
+import org.streamcourse.version.image.MemberId;
 
 /**
  * A fleet with more nodes than its members accept connections, so that most nodes reach members
@@ -66,6 +67,15 @@
       }
     }
 
+    RelayServer server() {
+      return server;
+    }
+
+    /** Returns whether this node may open connections to the primary. */
+    boolean holdsPrimary() {
+      return table.held("s", new MemberId(ScriptedService.PRIMARY), false) != null;
+    }
+
     void read(String id) {
       start(id, new Statement.Read(), "READ x", StatementPlan.ANY_READ);
     }
