Transactions: a commit that was certainly not sent is aborted, not in doubt

What callers saw, in tests and by reading: COMMIT of a transaction that wrote got 'outcome unknown' although it had never left the node: the connection had ended before (a member's crash, a holder's exit), or it still waited for a slot of the member at its time-out. A client must not repeat such an operation.

Cause: ClientTransaction took 'not sent' for 'lost', and looked at nothing when it closed the link at the time-out.

Why it works: MemberLink knows whether a command was handed to the connection (notSent, mayHaveRun); without that, and with the link gone, the member has rolled the transaction back. The session's invariant allows ABORTED in just this case.

--- a/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
@@ -32,8 +32,9 @@
      * Called when the member link was lost or closed before the answer arrived.
      *
      * @param reason description for the caller
+     * @param mayHaveRun false when the statement has certainly not reached the member
      */
-    void lost(String reason);
+    void lost(String reason, boolean mayHaveRun);
   }
 
   private final Worker worker;
@@ -159,10 +160,19 @@
 
     @Override
     public void lost(String cause) {
+      lost(cause, true);
+    }
+
+    @Override
+    public void notSent(String cause) {
+      lost(cause, false);
+    }
+
+    private void lost(String cause, boolean mayHaveRun) {
       if (!ended) {
         end();
         links.release(takeLink());
-        listener.lost("the connection to the member was lost: " + cause);
+        listener.lost("the connection to the member was lost: " + cause, mayHaveRun);
       }
     }
 
@@ -173,9 +183,10 @@
     }
 
     private void giveUp(String reason) {
+      boolean mayHaveRun = link.mayHaveRun();
       end();
       closeLink();
-      listener.lost(reason);
+      listener.lost(reason, mayHaveRun);
     }
   }
 }
--- a/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
@@ -346,9 +346,9 @@
     }
 
     @Override
-    public void lost(String reason) {
+    public void lost(String reason, boolean mayHaveRun) {
       if (commit) {
-        commitUnanswered(reason);
+        commitUnanswered(reason, mayHaveRun);
       } else {
         transaction.fail();
         answerRefusal(AnswerCode.ABORTED, reason);
@@ -370,10 +370,10 @@
   }
 
   /** A transaction without writes has changed nothing, whether or not its commit ran. */
-  private void commitUnanswered(String reason) {
-    boolean wrote = transaction.hasWritten();
+  private void commitUnanswered(String reason, boolean mayHaveRun) {
+    boolean inDoubt = mayHaveRun && transaction.hasWritten();
     transaction = null;
-    if (wrote) {
+    if (inDoubt) {
       answerError(AnswerCode.OUTCOME_UNKNOWN, reason);
     } else {
       answerRefusal(AnswerCode.ABORTED, reason);
--- a/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
+++ b/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
@@ -34,6 +34,8 @@
 import org.streamcourse.version.image.RoutingDocument;
 import org.streamcourse.version.image.ServiceRules;
 import org.streamcourse.version.image.SessionLimits;
+import org.streamcourse.version.image.TenantId;
+import org.streamcourse.version.image.TenantRule;
 import org.streamcourse.version.image.TermPosition;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
@@ -46,12 +48,13 @@
   static final String SELF = "10.0.0.2:1";
   static final long STALENESS_MILLIS = 1_500;
 
+  private static final KeyDigest KEY = KeyDigest.of(new byte[] {1});
   private static final String CONTROLLER = "10.0.0.1:1";
 
   /** Longer than a stop. */
   private static final SessionLimits LIMITS = new SessionLimits(30_000);
 
-  private static final int SLOTS = 5;
+  static final int SLOTS = 2;
   private static final int CONNECTIONS = 20;
   private static final Placement PLACEMENT = new Placement("r", "z");
 
@@ -64,6 +67,7 @@
 
   private final Map<Integer, Member> membersByPort = new TreeMap<>();
   private final Map<String, Member> members = new TreeMap<>();
+  private List<TenantRule> tenants = List.of();
   private ClusterImage image = ClusterImage.EMPTY;
   private long documentVersion;
 
@@ -107,6 +111,19 @@
     apply(new ClusterChange.PrimaryObserved(service, new MemberId(service + "-primary"), 0));
   }
 
+  /**
+   * Makes all callers one tenant and adds nodes in another region, so that this node owns the
+   * connections to all members and assigns their slots.
+   */
+  void ownConnections() {
+    for (int i = 1; i <= 2 * CONNECTIONS; i++) {
+      String host = "10.0.3." + i;
+      Placement far = new Placement("far", "far");
+      apply(new ClusterChange.NodeAdmitted(new NodeImage(host + ":1", 1, host, 1, far, false)));
+    }
+    tenants = List.of(new TenantRule(new TenantId("t"), List.of(KEY), 1, TenantRule.UNLIMITED, 0));
+  }
+
   /** Replaces the routes; the document has all services that they name. */
   void replaceRoutes(RouteRule... routes) {
     documentVersion++;
@@ -118,8 +135,7 @@
             .toList();
     apply(
         new ClusterChange.DocumentReplaced(
-            new RoutingDocument(
-                documentVersion, List.of(routes), services, LIMITS, List.of(), "")));
+            new RoutingDocument(documentVersion, List.of(routes), services, LIMITS, tenants, "")));
     pass(100);
   }
 
@@ -148,7 +164,7 @@
   Caller open(String database) {
     Caller caller = new Caller();
     caller.session = node.open(caller);
-    caller.session.receive(new ClientMessage.Start(database, KeyDigest.of(new byte[] {1})));
+    caller.session.receive(new ClientMessage.Start(database, KEY));
     return caller;
   }
 
@@ -235,6 +251,7 @@
 
     private final String service;
     private final boolean primary;
+    private final List<Connection> connections = new ArrayList<>();
     private long position;
     private boolean deaf;
 
@@ -245,6 +262,13 @@
       this.position = position;
     }
 
+    /** Ends all connections to the member. */
+    void breakConnections() {
+      List<Connection> broken = List.copyOf(connections);
+      connections.clear();
+      broken.forEach(Connection::breakOff);
+    }
+
     /** Receives nothing of the log from now on. */
     void turnDeaf() {
       deaf = true;
@@ -275,6 +299,12 @@
     Connection(Member member, Listener listener) {
       this.member = member;
       this.listener = listener;
+      member.connections.add(this);
+    }
+
+    private void breakOff() {
+      closed = true;
+      listener.closed("the connection was reset");
     }
 
     @Override
