Transactions keep the route that opened them until their end (STALE)

Cause: the context of each statement was built from the document in force, also within an open transaction. So the position at which COMMIT ended in the former service's log was recorded as a sample of the new service's primary, and as the oldest sample that is young enough it was the floor of all bounded reads there, for up to 1,350 ms.

Ruled out: a floor of the session's own commit (the reader had committed nothing), a read without a floor.

Change: a transaction keeps the route under which it was opened, for its service, time-outs and consistency, also when the route is removed; the document in force still decides about keys.

Why it works: whatever a statement of a transaction records, it records under the service of the member that ran it.

--- a/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
@@ -7,6 +7,7 @@
 import org.streamcourse.request.routing.StatementContext;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.version.image.MemberId;
+import org.streamcourse.version.image.RouteRule;
 import org.streamcourse.version.image.TenantId;
 import reactor.core.Disposable;
 
@@ -39,6 +40,7 @@
 
   private final Worker worker;
   private final boolean readOnly;
+  private RouteRule route;
   private TenantId tenant = TenantId.NONE;
   private MemberLinks links;
   private MemberLink link;
@@ -55,8 +57,16 @@
     return readOnly;
   }
 
-  void opened(TenantId owner, MemberLinks pool, MemberLink opened) {
-    tenant = owner;
+  /**
+   * Opens the transaction on a member link.
+   *
+   * @param first first statement; the others run under its route and for its tenant
+   * @param pool pool to which the link must be returned
+   * @param opened link on which the transaction was begun
+   */
+  void opened(StatementContext first, MemberLinks pool, MemberLink opened) {
+    route = first.route();
+    tenant = first.tenant();
     links = pool;
     link = opened;
   }
@@ -66,6 +76,14 @@
     return link != null;
   }
 
+  /**
+   * Returns the route under which the transaction was opened, or null before it is open. The route
+   * in force may lead to another service meanwhile; it applies from the next transaction on.
+   */
+  RouteRule route() {
+    return route;
+  }
+
   /** Returns the tenant of the transaction, or {@link TenantId#NONE} before it is open. */
   TenantId tenant() {
     return tenant;
--- a/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
@@ -31,6 +31,7 @@
  *   <li>Each statement is answered exactly once, unless the session is closed first.
  *   <li>All statements of a transaction run on one member link, which serves no other session
  *       meanwhile.
+ *   <li>All statements of a transaction run under the route by which it was opened.
  *   <li>Each statement runs for the tenant that holds the session's key in the document in force;
  *       without one it does not run, and an open transaction is rolled back.
  *   <li>A transaction is reported as aborted only when the member reported it, when it has written
@@ -197,7 +198,6 @@
   }
 
   private void runAtMember(StatementRequest request) {
-    Optional<RouteRule> route = document().route(database);
     PreparedShape shape = null;
     if (request.statement() instanceof Statement.Execute execute) {
       shape = names.prepared(execute.name());
@@ -206,11 +206,12 @@
         return;
       }
     }
-    if (route.isEmpty() && (transaction == null || !transaction.isOpen())) {
+    Optional<RouteRule> route = route();
+    if (route.isEmpty()) {
       answerError(AnswerCode.UNKNOWN_DATABASE, "the database " + database + " no longer exists");
       return;
     }
-    RouteRule rule = route.orElseGet(() -> context.route());
+    RouteRule rule = route.get();
     if (!SessionStart.mayCheckKeys(node, rule)) {
       refuseStatement(AnswerCode.BUSY, SessionStart.KEYS_NOT_CONFIRMED);
       return;
@@ -238,6 +239,14 @@
     }
   }
 
+  /**
+   * Returns the route of the current statement: that of the open transaction, or the one in force.
+   */
+  private Optional<RouteRule> route() {
+    boolean open = transaction != null && transaction.isOpen();
+    return open ? Optional.of(transaction.route()) : document().route(database);
+  }
+
   /** Returns whether no transaction is open or the open one was opened for this tenant. */
   private boolean mayContinue(TenantId tenant) {
     return transaction == null || !transaction.isOpen() || transaction.tenant().equals(tenant);
@@ -314,7 +323,7 @@
     @Override
     public void transactionOpened(MemberLinks links, MemberLink link) {
       execution = null;
-      transaction.opened(context.tenant(), links, link);
+      transaction.opened(context, links, link);
       runInTransaction();
     }
   }
--- a/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
@@ -15,7 +15,7 @@
  * A statement with the state of its session that its execution needs.
  *
  * @param request the statement
- * @param route current route of the session's database
+ * @param route route under which the statement runs
  * @param tenant tenant of the statement
  * @param shape shape of the executed prepared statement, or null for other statements
  * @param values session settings
--- a/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
+++ b/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
@@ -310,9 +310,6 @@
     @Override
     public void send(MemberCommand command) {
       boolean works = command instanceof MemberCommand.Run;
-      if (command instanceof MemberCommand.Run run && !closed) {
-        member.ran.add(run.text());
-      }
       busyUntil = Math.max(busyUntil, worker.now()) + (works ? workMillis : 1);
       worker.schedule(busyUntil - worker.now(), () -> answer(command));
     }
@@ -341,6 +338,7 @@
         state = SessionState.IDLE;
         wrote = false;
       } else if (command instanceof MemberCommand.Run run) {
+        member.ran.add(run.text());
         member.floor = run.floor();
         run(run.text());
       }
