--- a/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
@@ -1,5 +1,7 @@
 package org.streamcourse.connection.session;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.streamcourse.connection.member.MemberLink;
@@ -23,7 +25,7 @@
 
 /**
  * Executes the statements of one session, one after the other, and holds what outlives a statement:
- * values, prepared statements, newest commit position and transaction.
+ * values, prepared statements, newest commit positions and transaction.
  *
  * <p>Invariants:
  *
@@ -51,7 +53,10 @@
   private final KeyDigest key;
   private final Consumer<Answer> listener;
   private final SessionNames names = new SessionNames();
-  private TermPosition lastCommit = TermPosition.ZERO;
+
+  /** Position of the session's newest commit in the log of each service that it has written to. */
+  private final Map<String, TermPosition> lastCommits = new HashMap<>();
+
   private ClientTransaction transaction;
   private StatementRequest current;
   private StatementContext context;
@@ -224,7 +229,13 @@
     String traceId = request.id() + "@" + number;
     context =
         new StatementContext(
-            request, rule, tenant.get(), shape, names.values(), lastCommit, traceId);
+            request,
+            rule,
+            tenant.get(),
+            shape,
+            names.values(),
+            lastCommits.getOrDefault(rule.service(), TermPosition.ZERO),
+            traceId);
     if (isTooLate()) {
       refuseStatement(transaction == null ? AnswerCode.BUSY : AnswerCode.ABORTED, STOPPING);
     } else if (transaction == null) {
@@ -311,7 +322,7 @@
     public void finished(Answer answer) {
       execution = null;
       if (answer.isComplete() && plan == StatementPlan.WRITE && answer.position() != null) {
-        lastCommit = lastCommit.max(answer.position());
+        recordCommit(answer.position());
       }
       if (transaction != null) {
         // The transaction could not be opened; none of its statements has run.
@@ -370,7 +381,7 @@
     transaction = null;
     boolean wrote = done.hasWritten();
     if (answer.isComplete() && wrote && answer.position() != null) {
-      lastCommit = lastCommit.max(answer.position());
+      recordCommit(answer.position());
       node.members()
           .recordCommit(context, done.member(), sentMillis, answer.position(), node.log());
     }
@@ -378,6 +389,10 @@
     answer(answer.withState(SessionState.IDLE));
   }
 
+  private void recordCommit(TermPosition position) {
+    lastCommits.merge(context.route().service(), position, TermPosition::max);
+  }
+
   /** A transaction without writes has changed nothing, whether or not its commit ran. */
   private void commitUnanswered(String reason, boolean mayHaveRun) {
     boolean inDoubt = mayHaveRun && transaction.hasWritten();
--- a/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
+++ b/server/src/main/java/org/streamcourse/request/routing/StatementContext.java
@@ -19,7 +19,8 @@
  * @param tenant tenant of the statement
  * @param shape shape of the executed prepared statement, or null for other statements
  * @param values session settings
- * @param lastCommit log position of the session's newest acknowledged commit
+ * @param lastCommit position of the session's newest acknowledged commit in the log of the route's
+ *     service, or {@link TermPosition#ZERO}
  * @param traceId id of the statement with a number that is unique on this node
  */
 public record StatementContext(
--- a/server/src/test/java/org/streamcourse/process/MovedRouteTest.java
+++ b/server/src/test/java/org/streamcourse/process/MovedRouteTest.java
@@ -9,6 +9,7 @@
 import org.streamcourse.request.statement.AnswerCode;
 import org.streamcourse.version.image.RouteConsistency;
 import org.streamcourse.version.image.RouteRule;
+import org.streamcourse.version.image.TermPosition;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -86,6 +87,22 @@
     assertEquals(proxy.member("first-primary").ran, List.of("WRITE licence", "COMMIT"));
   }
 
+  /**
+   * Guards against floors that no member can reach: a session's commit in another service's log.
+   */
+  @Test
+  public void ownCommitIsAFloorOnlyInTheLogThatItWasWrittenTo() {
+    Caller caller = run("movedself", "WRITE a");
+    route("second", TIMEOUT_MILLIS);
+    run(caller, "READ b");
+    assertEquals(secondReplica.floor, new TermPosition(3, SECOND_END));
+    run(caller, "WRITE c", "READ c");
+    assertEquals(secondReplica.floor, new TermPosition(3, SECOND_END + 1));
+    route("first", TIMEOUT_MILLIS);
+    run(caller, "READ a");
+    assertEquals(proxy.member("first-replica").floor, new TermPosition(3, FIRST_END + 1));
+  }
+
   /** Guards against a transaction that runs under a route other than the one that opened it. */
   @Test
   public void openTransactionKeepsItsRouteUntilItsEnd() {
