--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimProxy.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimProxy.java
@@ -94,14 +94,28 @@
     world.history().event("proxy " + host.name() + " begins a planned stop");
     sessions.forEach(ConnectionSession::drain);
     PlannedStop stop =
-        new PlannedStop(
-            node,
-            () -> sessions.stream().allMatch(ConnectionSession::isClosed),
-            STOP_LIMITS,
-            host.worker().now());
+        new PlannedStop(node, new StoppingSessions(), STOP_LIMITS, host.worker().now());
     advance(stop);
   }
 
+  /** The sessions during a planned stop. */
+  private final class StoppingSessions implements PlannedStop.Sessions {
+    @Override
+    public boolean haveEnded() {
+      return sessions.stream().allMatch(ConnectionSession::isClosed);
+    }
+
+    @Override
+    public void end() {
+      sessions.forEach(ConnectionSession::end);
+    }
+
+    @Override
+    public void terminate() {
+      sessions.forEach(ConnectionSession::terminate);
+    }
+  }
+
   private void advance(PlannedStop stop) {
     Worker worker = host.worker();
     worker.schedule(
--- a/server/src/main/java/org/streamcourse/connection/frontend/CallerSessions.java
+++ b/server/src/main/java/org/streamcourse/connection/frontend/CallerSessions.java
@@ -8,12 +8,13 @@
 import org.streamcourse.connection.frontend.FrontendConnection.SessionFactory;
 import org.streamcourse.connection.wire.WireMessage;
 import org.streamcourse.process.ErrorCode;
+import org.streamcourse.process.PlannedStop;
 import org.streamcourse.process.StreamcourseException;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.edge.EdgeNode;
 
 /** The sessions of this node's callers. */
-public final class CallerSessions implements SessionFactory {
+public final class CallerSessions implements SessionFactory, PlannedStop.Sessions {
   private final Supplier<Worker> workers;
   private final EdgeNode edge;
   private final FrontendSettings settings;
@@ -68,6 +69,21 @@
     sessions.forEach(ConnectionSession::drain);
   }
 
+  @Override
+  public boolean haveEnded() {
+    return sessions.isEmpty();
+  }
+
+  @Override
+  public void end() {
+    sessions.forEach(ConnectionSession::end);
+  }
+
+  @Override
+  public void terminate() {
+    sessions.forEach(ConnectionSession::terminate);
+  }
+
   /** Removes the session from the set when its connection closes. */
   private final class Registered implements CallerSession {
     private final ConnectionSession session;
--- a/server/src/main/java/org/streamcourse/connection/frontend/ConnectionSession.java
+++ b/server/src/main/java/org/streamcourse/connection/frontend/ConnectionSession.java
@@ -6,7 +6,6 @@
 import org.streamcourse.connection.wire.Backend;
 import org.streamcourse.connection.wire.Frontend;
 import org.streamcourse.connection.wire.WireMessage;
-import org.streamcourse.process.ErrorCode;
 import org.streamcourse.process.StreamcourseException;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.StreamMessage.Purpose;
@@ -25,7 +24,7 @@
  *
  * <p>One request runs at a time. Messages that arrive meanwhile are queued; above a limit on their
  * bytes, reading from the caller pauses. All methods but {@link #receive}, {@link #channelClosed},
- * {@link #cancel} and {@link #drain} run on the session's worker.
+ * {@link #cancel}, {@link #drain}, {@link #end} and {@link #terminate} run on the session's worker.
  */
 public final class ConnectionSession implements RequestListener {
   private final CallerChannel channel;
@@ -52,6 +51,10 @@
   private boolean skipUntilSync;
   private boolean transactionFailed;
   private boolean draining;
+
+  /** Whether the session ends without its transaction, as soon as no request is running. */
+  private boolean ending;
+
   private boolean closed;
   private char status = Backend.STATUS_IDLE;
 
@@ -155,6 +158,32 @@
         });
   }
 
+  /**
+   * Ends the session now, or after the answer to its running request: an open transaction is rolled
+   * back, and requests that wait are not run.
+   */
+  public void end() {
+    worker.execute(
+        () -> {
+          ending = true;
+          endIfDrained();
+        });
+  }
+
+  /** Ends the session with an error for its running request, as the process is about to exit. */
+  public void terminate() {
+    worker.execute(
+        () -> {
+          ending = true;
+          if (pendingRead != null) {
+            pendingRead = null;
+            failed(SessionErrors.stopping(false));
+          }
+          executor.giveUp();
+          endIfDrained();
+        });
+  }
+
   /**
    * Returns whether the session has ended; on the session's worker.
    *
@@ -165,18 +194,10 @@
   }
 
   private void endIfDrained() {
-    boolean idle = !running && queue.isEmpty() && unit.isEmpty() && !transactionFailed;
-    if (draining && idle && !executor.isPinned() && !closed) {
-      closed = true;
-      channel.send(
-          ErrorResponses.of(
-              "FATAL",
-              new StreamcourseException(
-                  ErrorCode.NODE_NOT_SERVING,
-                  "drain",
-                  "",
-                  "this proxy is stopping; connect to another one")));
-      channel.close();
+    boolean inTransaction = executor.isPinned() || transactionFailed;
+    boolean idle = !running && queue.isEmpty() && unit.isEmpty() && !inTransaction;
+    if (!closed && (draining && idle || ending && !running)) {
+      fatal(SessionErrors.stopping(inTransaction));
     }
   }
 
@@ -193,7 +214,7 @@
   }
 
   private void process() {
-    while (!running && !closed && !queue.isEmpty()) {
+    while (!running && !closed && !ending && !queue.isEmpty()) {
       WireMessage message = queue.poll();
       queuedBytes -= message.size();
       handle(message);
@@ -220,7 +241,8 @@
           extended(message);
         }
       }
-      default -> fatal(violation("message type '" + message.type() + "' is not supported"));
+      default ->
+          fatal(SessionErrors.violation("message type '" + message.type() + "' is not supported"));
     }
   }
 
@@ -228,17 +250,15 @@
     try {
       unit.add(message);
       if (unit.size() > settings.maxFrameBytes()) {
-        fatal(violation("request exceeds the limit of " + settings.maxFrameBytes() + " bytes"));
+        fatal(
+            SessionErrors.violation(
+                "request exceeds the limit of " + settings.maxFrameBytes() + " bytes"));
       }
     } catch (StreamcourseException e) {
       fatal(e);
     }
   }
 
-  private static StreamcourseException violation(String what) {
-    return new StreamcourseException(ErrorCode.PROTOCOL_VIOLATION, "read-caller", "", what);
-  }
-
   private void fatal(StreamcourseException error) {
     closed = true;
     executor.close();
@@ -325,11 +345,7 @@
       status = Backend.STATUS_IDLE;
       return LocalStatements.Answer.tag("ROLLBACK");
     }
-    throw new StreamcourseException(
-        ErrorCode.TRANSACTION_FAILED,
-        "transaction",
-        "",
-        "the transaction was lost; end it with ROLLBACK");
+    throw SessionErrors.transactionLost();
   }
 
   private String proxyParameter(String name) {
@@ -341,9 +357,7 @@
               Math.min(
                   parameters.maxStalenessMillis(),
                   edge.image().groups().get(group).rules().maxStalenessMillis()));
-      default ->
-          throw new StreamcourseException(
-              ErrorCode.INVALID_COMMAND, "show", "", "no parameter \"" + name + "\"");
+      default -> throw SessionErrors.unknownParameter(name);
     };
   }
 
@@ -360,7 +374,7 @@
     if (!inTransaction && statementClass.kind() == Kind.WRITE) {
       requestKey = parameters.takeRequestKey();
       if (!requestKey.isEmpty() && (statementClass.changesSession() || !endsWithReady)) {
-        failed(requestKeyNotApplicable());
+        failed(SessionErrors.requestKeyNotApplicable());
         return;
       }
     }
@@ -375,15 +389,6 @@
     }
   }
 
-  private static StreamcourseException requestKeyNotApplicable() {
-    return new StreamcourseException(
-        ErrorCode.UNSUPPORTED,
-        "request-key",
-        "",
-        SessionParameters.REQUEST_KEY
-            + " applies only to a plain write outside a transaction; the statement was not run");
-  }
-
   private boolean isRead(StatementClass statementClass) {
     return switch (statementClass.kind()) {
       case READ, BEGIN_READ_ONLY -> !statementClass.changesSession();
@@ -403,14 +408,7 @@
         () -> {
           if (pendingRead == task) {
             pendingRead = null;
-            failed(
-                new StreamcourseException(
-                    ErrorCode.NO_MEMBER_AVAILABLE,
-                    "read-floor",
-                    group,
-                    "no floor received from a majority of the group; the request was not run",
-                    settings.floorTimeoutMillis(),
-                    null));
+            failed(SessionErrors.noFloor(group, settings.floorTimeoutMillis()));
           }
         });
   }
--- a/server/src/main/java/org/streamcourse/process/ProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyProcess.java
@@ -248,8 +248,7 @@
             TimeUnit.SECONDS.toMillis(settings.drainSeconds()),
             HANDOVER_MILLIS,
             ControlSettings.DEFAULT.confirmationMillis());
-    PlannedStop stop =
-        new PlannedStop(node, () -> sessions.count() == 0, limits, monotonicMillis());
+    PlannedStop stop = new PlannedStop(node, sessions, limits, monotonicMillis());
     try {
       while (!stop.advance(monotonicMillis())) {
         TimeUnit.MILLISECONDS.sleep(PlannedStop.POLL_MILLIS);
--- a/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
+++ b/server/src/main/java/org/streamcourse/request/edge/RequestExecutor.java
@@ -142,6 +142,17 @@
     }
   }
 
+  /** Ends the running request with an error, because the process is about to exit. */
+  public void giveUp() {
+    // No attempt begins after the deadline.
+    deadline = now();
+    if (active && ticket == 0) {
+      onBroken("stop", "this proxy is stopping");
+    } else if (active) {
+      pauseThenRetry();
+    }
+  }
+
   /** Abandons the open stream; called when the caller has disconnected. */
   public void close() {
     if (current != null && (active || pinned)) {
@@ -235,20 +246,8 @@
   }
 
   private void recordWithoutTarget(String why) {
-    long now = now();
     long term = routedGroup == null ? 0 : routedGroup.term();
-    trace.add(
-        new RequestTrace.Attempt(
-            "",
-            "",
-            "route",
-            why,
-            request.floor(),
-            TermPosition.ZERO,
-            term,
-            edge.image().version(),
-            now,
-            now));
+    trace.addWithoutTarget(why, request.floor(), term, edge.image().version(), now());
   }
 
   private void recordAttempt(String step, String outcome, TermPosition applied) {
--- a/server/src/main/java/org/streamcourse/request/edge/RequestTrace.java
+++ b/server/src/main/java/org/streamcourse/request/edge/RequestTrace.java
@@ -60,6 +60,23 @@
     attempts.addLast(attempt);
   }
 
+  /** Adds an attempt for which no member was chosen. */
+  void addWithoutTarget(
+      String why, TermPosition floor, long term, long imageVersion, long nowMillis) {
+    add(
+        new Attempt(
+            "",
+            "",
+            "route",
+            why,
+            floor,
+            TermPosition.ZERO,
+            term,
+            imageVersion,
+            nowMillis,
+            nowMillis));
+  }
+
   /**
    * Returns the attempts that are kept.
    *
