--- a/server/src/main/java/org/streamcourse/process/PlannedStop.java
+++ b/server/src/main/java/org/streamcourse/process/PlannedStop.java
@@ -11,7 +11,8 @@
  * to the controllers that it is draining, and its allowances move to other nodes once its gateways'
  * streams have ended. Finally the node lingers for as long as an edge may route by an older image,
  * and refuses requests that still arrive: an edge that receives "not run" retries at another node,
- * while an edge that only loses its link must report the outcome as unknown.
+ * while an edge that only loses its link must report the outcome as unknown. Requests of callers
+ * that still run then get an error before the process exits.
  */
 public final class PlannedStop {
   private static final Logger LOG = LoggerFactory.getLogger(PlannedStop.class);
--- a/server/src/main/java/org/streamcourse/process/StatementProxyStop.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyStop.java
@@ -1,8 +1,7 @@
 package org.streamcourse.process;
 
 /**
- * The steps of a statement proxy's planned stop, the same in the process, in tests and in the
- * simulator.
+ * The steps of a statement proxy's planned stop.
  *
  * <p>The node first reports that it is not ready and serves on until the platform sends it no more
  * callers. Then each session ends as soon as it is idle. After half of the grace period statements
