--- a/platform/src/main/java/org/streamcourse/platform/ReloadRequests.java
+++ b/server/src/main/java/org/streamcourse/process/settings/ReloadRequests.java
@@ -1,4 +1,4 @@
-package org.streamcourse.platform;
+package org.streamcourse.process.settings;
 
 import sun.misc.Signal;
 
@@ -7,18 +7,23 @@
  * it has: it may have read the settings before they changed. Reloads run one at a time, on the
  * thread of the request.
  */
-final class ReloadRequests {
+public final class ReloadRequests {
   private Runnable reload;
   private boolean pending;
 
-  /** Returns requests that SIGHUP makes from now on; by default it would end the process. */
-  static ReloadRequests onSignal() {
+  /**
+   * Creates requests that SIGHUP makes from now on; by default it would end the process.
+   *
+   * @return requests, none of them made yet
+   */
+  public static ReloadRequests onSignal() {
     ReloadRequests requests = new ReloadRequests();
     Signal.handle(new Signal("HUP"), signal -> requests.request());
     return requests;
   }
 
-  synchronized void request() {
+  /** Reloads the settings, at the end of the start if that is still to come. */
+  public synchronized void request() {
     if (reload == null) {
       pending = true;
     } else {
@@ -26,8 +31,12 @@
     }
   }
 
-  /** Serves requests from now on, among them those that arrived during the start. */
-  synchronized void started(Runnable reload) {
+  /**
+   * Serves requests from now on, among them those that arrived during the start.
+   *
+   * @param reload reloads the settings
+   */
+  public synchronized void started(Runnable reload) {
     this.reload = reload;
     if (pending) {
       reload.run();
