Controllers keep changes and log entries within a limit in bytes (ACKS)

Cause: the histories of a controller were limited by number. Evidence, on a fleet of real processes with 128 MB of heap and 730 routes, 8 operators: the heap was full (87.4 of 87.4 MB of the old generation, three controllers) after 354 documents. One operator, one change after the other, filled it too, after 368 documents: the load has no part in it, the number of large documents has. One log segment, which is read as a whole at a start, had 61 MB.

Change: MemoryLimits gives each history a fraction of the heap. Recent changes are kept up to 1/16 of it; a node that lacks more gets the image. Voters change only when the change fits one request with all uncommitted entries, as the invariant of proposeVoters needs. Outcomes of commands are replicated state, so their limit is a constant; decisions have one too. An entry counts as applied after it was applied, not before: a failure no longer skips it.

--- a/server/src/main/java/org/streamcourse/process/ControllerNode.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerNode.java
@@ -114,8 +114,8 @@
     this.network = network;
     this.name = name;
     this.controllers = List.copyOf(controllers);
-    ControllerStateMachine machine = new ControllerStateMachine(codec);
-    RecordLog log = RecordLog.open(disk, codec);
+    ControllerStateMachine machine = new ControllerStateMachine(codec, agreementSettings.memory());
+    RecordLog log = RecordLog.open(disk, codec, agreementSettings.memory());
     if (log.quorumState() == null) {
       initializeIdentity(log, name, controllers, bootstrap, machine, random);
     }
--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -71,7 +71,7 @@
             network,
             disk,
             codec,
-            AgreementSettings.DEFAULT,
+            AgreementSettings.DEFAULT.withMemory(MemoryLimits.ofThisProcess()),
             ControlSettings.DEFAULT,
             new SecureRandom());
     platformList = new PlatformList(workers.get(), node::onPlatformList);
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -71,7 +71,9 @@
             network,
             disk,
             codec,
-            AgreementSettings.DEFAULT.withMaxVoters(settings.maxVoters()),
+            AgreementSettings.DEFAULT
+                .withMaxVoters(settings.maxVoters())
+                .withMemory(MemoryLimits.ofThisProcess()),
             ControlSettings.DEFAULT.withQuotas(settings.quotas()),
             new SecureRandom(),
             new ServiceAgents(promotionAgent, probe(loop, memberProtocol)));
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -74,10 +74,10 @@
     this.stateMachine = stateMachine;
     this.settings = settings;
     this.electionTimer = new ElectionTimer(worker, settings, random, this::onElectionTimeout);
-    this.applied = new AppliedState(log, stateMachine, settings.snapshotEvery());
+    this.applied = new AppliedState(log, stateMachine, settings);
     this.expeditedRound = new ExpeditedRound(worker, this::startExpeditedRound);
     this.proposals = new ProposalBatch(worker, this::appendProposals);
-    this.sender = new EntrySender(log, network, settings.entriesPerAppend());
+    this.sender = new EntrySender(log, network, settings);
   }
 
   /** Restores the state machine and starts the election timer. */
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementSettings.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementSettings.java
@@ -1,5 +1,7 @@
 package org.streamcourse.version.agreement;
 
+import org.streamcourse.process.MemoryLimits;
+
 /**
  * Timing and limits of the replicated log.
  *
@@ -12,6 +14,7 @@
  * @param snapshotEvery number of applied entries between snapshots
  * @param maxVoters number of voters from which on a learner can only replace a lost voter
  * @param voterLostMillis time without responses after which a learner may replace a voter
+ * @param memory limits of what is kept in memory
  */
 public record AgreementSettings(
     long heartbeatMillis,
@@ -20,10 +23,11 @@
     int entriesPerAppend,
     int snapshotEvery,
     int maxVoters,
-    long voterLostMillis) {
+    long voterLostMillis,
+    MemoryLimits memory) {
   /** Default values. */
   public static final AgreementSettings DEFAULT =
-      new AgreementSettings(100, 600, 150, 64, 256, Integer.MAX_VALUE, 3_000);
+      new AgreementSettings(100, 600, 150, 64, 256, Integer.MAX_VALUE, 3_000, MemoryLimits.DEFAULT);
 
   /**
    * Limits the number of voters.
@@ -39,6 +43,25 @@
         entriesPerAppend,
         snapshotEvery,
         voters,
-        voterLostMillis);
+        voterLostMillis,
+        memory);
+  }
+
+  /**
+   * Replaces the memory limits.
+   *
+   * @param limits limits of what is kept in memory
+   * @return changed settings
+   */
+  public AgreementSettings withMemory(MemoryLimits limits) {
+    return new AgreementSettings(
+        heartbeatMillis,
+        electionTimeoutMillis,
+        firstElectionMillis,
+        entriesPerAppend,
+        snapshotEvery,
+        maxVoters,
+        voterLostMillis,
+        limits);
   }
 }
--- a/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
@@ -10,20 +10,25 @@
   private final RecordLog log;
   private final StateMachine stateMachine;
   private final long snapshotEvery;
+  private final long snapshotEveryBytes;
   private long commitIndex;
   private long appliedIndex;
 
+  /** Length of the entries that were applied since the newest snapshot. */
+  private long appliedBytes;
+
   /**
    * Creates the state; nothing is applied yet.
    *
    * @param log durable log
    * @param stateMachine receives committed commands
-   * @param snapshotEvery number of applied entries between snapshots
+   * @param settings limits for the entries between two snapshots
    */
-  AppliedState(RecordLog log, StateMachine stateMachine, long snapshotEvery) {
+  AppliedState(RecordLog log, StateMachine stateMachine, AgreementSettings settings) {
     this.log = log;
     this.stateMachine = stateMachine;
-    this.snapshotEvery = snapshotEvery;
+    this.snapshotEvery = settings.snapshotEvery();
+    this.snapshotEveryBytes = settings.memory().logBytes();
   }
 
   long commitIndex() {
@@ -53,6 +58,7 @@
     stateMachine.restore(snapshot.state());
     commitIndex = snapshot.lastIndex();
     appliedIndex = snapshot.lastIndex();
+    appliedBytes = 0;
   }
 
   /** Commits and applies all entries up to an index. */
@@ -60,16 +66,25 @@
     commitIndex = Math.max(commitIndex, index);
     log.recordCommitIndex(commitIndex);
     while (appliedIndex < commitIndex) {
-      appliedIndex++;
-      LogEntry entry = log.entry(appliedIndex);
+      LogEntry entry = log.entry(appliedIndex + 1);
       if (entry.kind() == LogEntry.Kind.COMMAND) {
-        stateMachine.apply(appliedIndex, entry.payload());
+        stateMachine.apply(entry.index(), entry.payload());
       }
+      // Not before the entry is applied: if applying it fails, it must not be skipped.
+      appliedIndex = entry.index();
+      appliedBytes += entry.payload().length;
     }
-    if (appliedIndex - log.snapshotIndex() >= snapshotEvery) {
+    if (isSnapshotDue()) {
       long lastTerm = log.termAt(appliedIndex);
       VoterSet voters = log.votersAt(appliedIndex);
       log.saveSnapshot(new Snapshot(appliedIndex, lastTerm, voters, stateMachine.snapshot()), true);
+      appliedBytes = 0;
     }
   }
+
+  /** A snapshot larger than the limit is written once as many bytes of entries have followed. */
+  private boolean isSnapshotDue() {
+    return appliedIndex - log.snapshotIndex() >= snapshotEvery
+        || appliedBytes >= Math.max(snapshotEveryBytes, log.snapshotBytes());
+  }
 }
--- a/server/src/main/java/org/streamcourse/version/agreement/EntrySender.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/EntrySender.java
@@ -1,6 +1,7 @@
 package org.streamcourse.version.agreement;
 
 import java.util.ArrayList;
+import java.util.List;
 import org.streamcourse.version.agreement.AgreementMessage.AppendRequest;
 import org.streamcourse.version.agreement.AgreementMessage.SnapshotRequest;
 
@@ -12,11 +13,15 @@
   private final RecordLog log;
   private final AgreementNetwork network;
   private final int entriesPerAppend;
+  private final int appendBytes;
+  private final int unacknowledgedBytes;
 
-  EntrySender(RecordLog log, AgreementNetwork network, int entriesPerAppend) {
+  EntrySender(RecordLog log, AgreementNetwork network, AgreementSettings settings) {
     this.log = log;
     this.network = network;
-    this.entriesPerAppend = entriesPerAppend;
+    this.entriesPerAppend = settings.entriesPerAppend();
+    this.appendBytes = settings.memory().appendBytes();
+    this.unacknowledgedBytes = settings.memory().unacknowledgedBytes();
   }
 
   /**
@@ -25,6 +30,10 @@
    * leader that resends until it gets an acknowledgement, with a round trip of 40 ms and a change
    * every 3 ms while a fleet starts, sent each entry 168 times in a test.
    *
+   * <p>A request contains no entries while more bytes than the limit are unacknowledged, since a
+   * controller that is slow or cut off would make them accumulate in this process. They are sent
+   * when its acknowledgment arrives.
+   *
    * @param to receiver's identity
    * @param progress receiver's replication progress, advanced by this call
    * @param term leader's term
@@ -36,14 +45,41 @@
     long previous = progress.nextIndex - 1;
     long previousTerm = log.termAt(previous);
     if (previous < log.snapshotIndex() || previousTerm < 0) {
-      network.send(to, new SnapshotRequest(self, term, log.snapshot(), round));
-      progress.nextIndex = log.snapshotIndex() + 1;
+      sendSnapshot(to, progress, term, commitIndex, round);
       return;
     }
-    ArrayList<LogEntry> entries =
-        new ArrayList<>(log.entriesFrom(progress.nextIndex, entriesPerAppend));
+    List<LogEntry> entries =
+        hasRoom(progress)
+            ? log.entriesFrom(progress.nextIndex, entriesPerAppend, appendBytes)
+            : new ArrayList<>();
     network.send(
         to, new AppendRequest(self, term, previous, previousTerm, entries, commitIndex, round));
     progress.nextIndex += entries.size();
   }
+
+  private boolean hasRoom(LeaderState.Progress progress) {
+    if (progress.snapshotInFlight) {
+      return false;
+    }
+    long unacknowledged =
+        log.bytesBetween(progress.assumedIndex, progress.nextIndex, unacknowledgedBytes);
+    return unacknowledged < unacknowledgedBytes;
+  }
+
+  /** Sends the snapshot; until the receiver has responded, only heartbeats, which it rejects. */
+  private void sendSnapshot(
+      String to, LeaderState.Progress progress, long term, long commitIndex, long round) {
+    String self = log.quorumState().identity();
+    Snapshot snapshot = log.snapshot();
+    if (progress.snapshotInFlight) {
+      long index = snapshot.lastIndex();
+      long indexTerm = snapshot.lastTerm();
+      network.send(
+          to,
+          new AppendRequest(self, term, index, indexTerm, new ArrayList<>(), commitIndex, round));
+      return;
+    }
+    network.send(to, new SnapshotRequest(self, term, snapshot, round));
+    progress.sentSnapshot(snapshot.lastIndex());
+  }
 }
--- a/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/LeaderState.java
@@ -25,6 +25,15 @@
     /** Index of the last entry that the controller is known to have synced. */
     long matchIndex;
 
+    /**
+     * Index up to which the controller is assumed to have the entries; those from there to {@link
+     * #nextIndex} are in flight.
+     */
+    long assumedIndex;
+
+    /** Whether a snapshot was sent to which the controller has not responded. */
+    boolean snapshotInFlight;
+
     long acknowledgedRound;
     long lastResponseMillis;
 
@@ -36,6 +45,7 @@
 
     Progress(long nextIndex, long now) {
       this.nextIndex = nextIndex;
+      this.assumedIndex = nextIndex - 1;
       this.lastResponseMillis = now;
     }
 
@@ -43,13 +53,23 @@
     void rewindToAcknowledged() {
       if (matchIndex > 0) {
         nextIndex = matchIndex + 1;
+        assumedIndex = matchIndex;
       }
     }
 
+    /** Records that a snapshot was sent. */
+    void sentSnapshot(long lastIndex) {
+      snapshotInFlight = true;
+      nextIndex = lastIndex + 1;
+      assumedIndex = lastIndex;
+    }
+
     /** Records that the controller has synced all entries up to an index. */
     void acknowledged(long index) {
+      snapshotInFlight = false;
       matchIndex = Math.max(matchIndex, index);
       nextIndex = Math.max(nextIndex, matchIndex + 1);
+      assumedIndex = Math.max(assumedIndex, matchIndex);
     }
 
     /**
@@ -67,7 +87,9 @@
       if (rejectedRound <= resentRound && from >= resentFrom) {
         return false;
       }
+      snapshotInFlight = false;
       nextIndex = from;
+      assumedIndex = from - 1;
       resentFrom = from;
       resentRound = round;
       return true;
--- a/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
@@ -8,6 +8,7 @@
 import org.streamcourse.process.Disk;
 import org.streamcourse.process.ErrorCode;
 import org.streamcourse.process.Frames;
+import org.streamcourse.process.MemoryLimits;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.process.StreamcourseException;
 
@@ -31,7 +32,8 @@
 
   private final Disk disk;
   private final MessageCodec codec;
-  private final NavigableMap<Long, LogEntry> entries = new TreeMap<>();
+  private final int segmentBytes;
+  private final LogEntries entries = new LogEntries();
   private final NavigableMap<Long, String> segments = new TreeMap<>();
   private QuorumState quorumState;
   private Snapshot snapshot;
@@ -47,9 +49,13 @@
   private long knownCommitIndex;
   private long storedCommitIndex;
 
-  private RecordLog(Disk disk, MessageCodec codec) {
+  /** Length of the segment to which entries are appended. */
+  private long lastSegmentBytes;
+
+  private RecordLog(Disk disk, MessageCodec codec, int segmentBytes) {
     this.disk = disk;
     this.codec = codec;
+    this.segmentBytes = segmentBytes;
   }
 
   /**
@@ -60,7 +66,19 @@
    * @return log, possibly empty; see {@link #quorumState()}
    */
   public static RecordLog open(Disk disk, MessageCodec codec) {
-    RecordLog log = new RecordLog(disk, codec);
+    return open(disk, codec, MemoryLimits.DEFAULT);
+  }
+
+  /**
+   * Opens the log in a data folder.
+   *
+   * @param disk data folder
+   * @param codec codec with the types of this package
+   * @param limits limits of what is kept in memory; a segment is read as a whole when it is opened
+   * @return log, possibly empty; see {@link #quorumState()}
+   */
+  public static RecordLog open(Disk disk, MessageCodec codec, MemoryLimits limits) {
+    RecordLog log = new RecordLog(disk, codec, limits.logBytes());
     log.load();
     return log;
   }
@@ -99,7 +117,7 @@
    * @return 0 for an empty log
    */
   public long lastIndex() {
-    return entries.isEmpty() ? snapshotIndex() : entries.lastKey();
+    return entries.isEmpty() ? snapshotIndex() : entries.lastIndex();
   }
 
   /**
@@ -164,10 +182,42 @@
    *
    * @param fromIndex first index
    * @param limit maximum number of entries to return
+   * @param limitBytes maximum length of their payloads together; a longer first entry is returned
+   *     alone
    * @return entries in order
    */
-  public List<LogEntry> entriesFrom(long fromIndex, int limit) {
-    return entries.tailMap(fromIndex, true).values().stream().limit(limit).toList();
+  public List<LogEntry> entriesFrom(long fromIndex, int limit, int limitBytes) {
+    return entries.from(fromIndex, limit, limitBytes);
+  }
+
+  /**
+   * Adds up the lengths of the payloads of some entries.
+   *
+   * @param after index before the first of them
+   * @param before index after the last of them
+   * @param enough sum from which on no more lengths are added
+   * @return bytes
+   */
+  long bytesBetween(long after, long before, long enough) {
+    return entries.bytesBetween(after, before, enough);
+  }
+
+  /**
+   * Returns the length of the payloads of all entries since the snapshot.
+   *
+   * @return bytes
+   */
+  public long entryBytes() {
+    return entries.bytes();
+  }
+
+  /**
+   * Returns the length of the state in the newest snapshot.
+   *
+   * @return bytes; 0 when there is no snapshot
+   */
+  public long snapshotBytes() {
+    return snapshot == null ? 0 : snapshot.state().length;
   }
 
   /**
@@ -180,9 +230,11 @@
       return;
     }
     String segment = segmentForAppend(added.get(0).index());
-    disk.appendAndSync(segment, encodeFrame(added));
+    byte[] frame = encodeFrame(added);
+    disk.appendAndSync(segment, frame);
+    lastSegmentBytes += frame.length;
     for (LogEntry entry : added) {
-      entries.put(entry.index(), entry);
+      entries.put(entry);
       if (entry.kind() == LogEntry.Kind.VOTERS) {
         newestVoters = null;
       }
@@ -281,7 +333,7 @@
    * @return newest voter set at or before that entry
    */
   VoterSet votersAt(long lastEntry) {
-    for (LogEntry entry : entries.headMap(lastEntry, true).descendingMap().values()) {
+    for (LogEntry entry : entries.newestFirst(lastEntry)) {
       if (entry.kind() == LogEntry.Kind.VOTERS) {
         return VoterSetCodec.decode(entry.payload());
       }
@@ -299,7 +351,8 @@
     for (long first : List.copyOf(segments.tailMap(fromIndex, true).keySet())) {
       disk.delete(segments.remove(first));
     }
-    entries.tailMap(fromIndex, true).clear();
+    entries.dropFrom(fromIndex);
+    lastSegmentBytes = 0;
     if (!segments.isEmpty()) {
       rewriteSegment(segments.lastKey());
     }
@@ -319,7 +372,7 @@
       truncateFrom(0);
       return;
     }
-    entries.headMap(taken.lastIndex(), true).clear();
+    entries.dropUntil(taken.lastIndex());
     while (segments.size() > 1
         && segments.higherKey(segments.firstKey()) <= taken.lastIndex() + 1) {
       disk.delete(segments.pollFirstEntry().getValue());
@@ -327,16 +380,20 @@
   }
 
   private String segmentForAppend(long index) {
-    if (segments.isEmpty() || index - segments.lastKey() >= ENTRIES_PER_SEGMENT) {
+    if (segments.isEmpty()
+        || index - segments.lastKey() >= ENTRIES_PER_SEGMENT
+        || lastSegmentBytes >= segmentBytes) {
       segments.put(index, segmentName(index));
+      lastSegmentBytes = 0;
     }
     return segments.lastEntry().getValue();
   }
 
   private void rewriteSegment(long firstIndex) {
-    List<LogEntry> kept = new ArrayList<>(entries.tailMap(firstIndex, true).values());
+    List<LogEntry> kept = new ArrayList<>(entries.from(firstIndex));
     byte[] content = kept.isEmpty() ? new byte[0] : encodeFrame(kept);
     disk.replace(segments.get(firstIndex), content);
+    lastSegmentBytes = content.length;
   }
 
   private static String segmentName(long firstIndex) {
@@ -375,6 +432,7 @@
 
   private void loadSegment(String name, boolean last) {
     ByteBuffer buffer = ByteBuffer.wrap(disk.read(name));
+    lastSegmentBytes = buffer.remaining();
     while (buffer.hasRemaining()) {
       int start = buffer.position();
       byte[] payload = Frames.read(buffer);
@@ -394,7 +452,7 @@
 
   private void loadEntry(LogEntry entry) {
     if (entry.index() > snapshotIndex()) {
-      entries.put(entry.index(), entry);
+      entries.put(entry);
     } else if (entry.index() == snapshotIndex() && entry.term() != snapshot.lastTerm()) {
       replacedBySnapshot = true;
     }
@@ -407,6 +465,7 @@
     byte[] kept = new byte[start];
     System.arraycopy(content, 0, kept, 0, start);
     disk.replace(name, kept);
+    lastSegmentBytes = start;
   }
 
   /** Returns whether an intact frame follows a damaged one, which rules out a torn write. */
@@ -423,8 +482,8 @@
 
   private void checkContinuity() {
     long expected = snapshotIndex() + 1;
-    for (long index : entries.keySet()) {
-      if (index != expected) {
+    for (LogEntry entry : entries.all()) {
+      if (entry.index() != expected) {
         throw corrupt(SEGMENT_PREFIX, "entry " + expected + " is missing");
       }
       expected++;
--- a/server/src/main/java/org/streamcourse/version/agreement/VoterChanges.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/VoterChanges.java
@@ -21,7 +21,7 @@
       LeaderState leader,
       long now,
       AgreementSettings settings) {
-    if (hasUncommittedVoters(log, commitIndex)) {
+    if (hasUncommittedVoters(log, commitIndex) || !fitsOneRequest(log, commitIndex, settings)) {
       return Optional.empty();
     }
     for (String learner : current.learners()) {
@@ -42,6 +42,14 @@
     return leader.pollJoinRequest().map(joining -> admit(current, joining));
   }
 
+  /** Returns whether a change can be sent together with all entries that are not committed. */
+  private static boolean fitsOneRequest(
+      RecordLog log, long commitIndex, AgreementSettings settings) {
+    long limit = settings.memory().appendBytes() / 2;
+    return log.lastIndex() - commitIndex < settings.entriesPerAppend()
+        && log.bytesBetween(commitIndex, log.lastIndex() + 1, limit) < limit;
+  }
+
   /** Finds an unresponsive voter that a learner may replace. */
   private static Optional<String> lostVoter(
       VoterSet current, LeaderState leader, long lastIndex, long now, AgreementSettings settings) {
--- a/server/src/main/java/org/streamcourse/version/control/ControllerStateMachine.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControllerStateMachine.java
@@ -1,12 +1,10 @@
 package org.streamcourse.version.control;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamcourse.process.MemoryLimits;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.version.agreement.StateMachine;
 import org.streamcourse.version.control.ControlMessage.CommandOutcome;
@@ -27,8 +25,7 @@
  * expected version exactly one is accepted.
  */
 public final class ControllerStateMachine implements StateMachine {
-  private static final int MAX_OUTCOMES = 4_096;
-  private static final int MAX_CHANGES = 2_048;
+  private static final Logger LOG = LoggerFactory.getLogger(ControllerStateMachine.class);
 
   /** Receives applied commands and changes of leadership. */
   public interface Listener {
@@ -64,8 +61,8 @@
       QuotaTable.Stored quotas) {}
 
   private final MessageCodec codec;
-  private final Map<String, CommandOutcome> outcomes = new LinkedHashMap<>();
-  private final Deque<ClusterChange> recentChanges = new ArrayDeque<>();
+  private final CommandOutcomes outcomes = new CommandOutcomes();
+  private final RecentChanges recentChanges;
   private final QuotaTable quotas = new QuotaTable();
   private List<QuotaGrant> newGrants = List.of();
   private ClusterImage image = ClusterImage.EMPTY;
@@ -82,9 +79,11 @@
    * Creates an empty state.
    *
    * @param codec codec that knows the control messages
+   * @param limits limits of what is kept in memory
    */
-  public ControllerStateMachine(MessageCodec codec) {
+  public ControllerStateMachine(MessageCodec codec, MemoryLimits limits) {
     this.codec = codec;
+    this.recentChanges = new RecentChanges(limits.recentChangesBytes());
   }
 
   /**
@@ -122,7 +121,7 @@
    * @return outcome, if it is still kept
    */
   public Optional<CommandOutcome> outcome(String commandId) {
-    return Optional.ofNullable(outcomes.get(commandId));
+    return outcomes.find(commandId);
   }
 
   /**
@@ -132,34 +131,42 @@
    * @return delta, or empty when the changes are no longer kept
    */
   public Optional<ClusterDelta> deltaSince(long version) {
-    long missing = image.version() - version;
-    if (missing < 0 || missing > recentChanges.size()) {
-      return Optional.empty();
-    }
-    List<ClusterChange> changes = new ArrayList<>(recentChanges);
-    int from = changes.size() - (int) missing;
-    return Optional.of(
-        new ClusterDelta(version, new ArrayList<>(changes.subList(from, changes.size()))));
+    return recentChanges.since(version, image.version());
+  }
+
+  /**
+   * Returns the memory that the changes kept for {@link #deltaSince} take.
+   *
+   * @return upper estimate in bytes
+   */
+  public long recentChangesBytes() {
+    return recentChanges.bytes();
   }
 
   @Override
   public void apply(long index, byte[] command) {
     LoggedCommand logged = (LoggedCommand) codec.decode(command);
-    CommandOutcome known = outcomes.get(logged.commandId());
+    CommandOutcome known = outcomes.find(logged.commandId()).orElse(null);
     CommandOutcome outcome = known == null ? decide(logged) : known;
     if (logged.change() instanceof ClusterChange.QuotaGranted granted) {
       newGrants = quotas.apply(granted);
     } else if (known == null && outcome.status() == CommandStatus.ACCEPTED) {
       image = image.apply(logged.change());
-      remember(logged.change());
+      recentChanges.add(logged.change(), command.length);
     }
     if (known == null && !logged.commandId().isEmpty()) {
-      outcomes.put(logged.commandId(), outcome);
-      if (outcomes.size() > MAX_OUTCOMES) {
-        outcomes.remove(outcomes.keySet().iterator().next());
-      }
+      outcomes.add(logged.commandId(), outcome);
+    }
+    notifyListener(logged, outcome);
+  }
+
+  /** The command is applied whatever the listener does, so its failure must not be passed on. */
+  private void notifyListener(LoggedCommand command, CommandOutcome outcome) {
+    try {
+      listener.applied(command, outcome);
+    } catch (RuntimeException e) {
+      LOG.error("a task after command '{}' failed", command.commandId(), e);
     }
-    listener.applied(logged, outcome);
   }
 
   private CommandOutcome decide(LoggedCommand command) {
@@ -178,21 +185,9 @@
         .orElse(new CommandOutcome(CommandStatus.ACCEPTED, version + 1, ""));
   }
 
-  private void remember(ClusterChange change) {
-    recentChanges.addLast(change);
-    if (recentChanges.size() > MAX_CHANGES) {
-      recentChanges.removeFirst();
-    }
-  }
-
   @Override
   public byte[] snapshot() {
-    return codec.encode(
-        new StoredState(
-            image,
-            new ArrayList<>(outcomes.keySet()),
-            new ArrayList<>(outcomes.values()),
-            quotas.stored()));
+    return codec.encode(new StoredState(image, outcomes.ids(), outcomes.all(), quotas.stored()));
   }
 
   @Override
@@ -203,7 +198,7 @@
     recentChanges.clear();
     outcomes.clear();
     for (int i = 0; i < stored.commandIds().size(); i++) {
-      outcomes.put(stored.commandIds().get(i), stored.outcomes().get(i));
+      outcomes.add(stored.commandIds().get(i), stored.outcomes().get(i));
     }
   }
 
--- a/server/src/main/java/org/streamcourse/version/control/DecisionHistory.java
+++ b/server/src/main/java/org/streamcourse/version/control/DecisionHistory.java
@@ -7,12 +7,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Keeps the newest decisions, and writes each one to the log. */
+/** Keeps the newest decisions in memory, and writes each one to the log. */
 public final class DecisionHistory {
   private static final Logger LOG = LoggerFactory.getLogger(DecisionHistory.class);
   private static final int MAX_DECISIONS = 1_000;
+  private static final int MAX_CHARACTERS = 1024 * 1024;
 
   private final Deque<Decision> decisions = new ArrayDeque<>();
+  private long characters;
 
   /**
    * Records a decision.
@@ -21,8 +23,9 @@
    */
   public void record(Decision decision) {
     decisions.addLast(decision);
-    if (decisions.size() > MAX_DECISIONS) {
-      decisions.removeFirst();
+    characters += length(decision);
+    while (decisions.size() > MAX_DECISIONS || characters > MAX_CHARACTERS) {
+      characters -= length(decisions.removeFirst());
     }
     LOG.info(
         "decision {} {} {} {} {}",
@@ -33,6 +36,13 @@
         StructuredArguments.keyValue("outcome", decision.outcome()));
   }
 
+  private static long length(Decision decision) {
+    return (long) decision.subject().length()
+        + decision.cause().length()
+        + decision.inputs().length()
+        + decision.outcome().length();
+  }
+
   /**
    * Returns the kept decisions.
    *
