--- a/server/src/main/java/org/streamcourse/request/StreamTypes.java
+++ b/server/src/main/java/org/streamcourse/request/StreamTypes.java
@@ -43,6 +43,7 @@
     types.addAll(OWN);
     types.addAll(RelayTypes.ALL);
     types.addAll(QuotaTypes.ALL);
+    types.addAll(ControlTypes.ADDED);
     return new MessageCodec(types);
   }
 }
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -76,7 +76,8 @@
     this.electionTimer = new ElectionTimer(worker, settings, random, this::onElectionTimeout);
     this.applied = new AppliedState(log, stateMachine, settings);
     this.expeditedRound = new ExpeditedRound(worker, this::startExpeditedRound);
-    this.proposals = new ProposalBatch(worker, this::appendProposals);
+    this.proposals =
+        new ProposalBatch(worker, this::appendProposals, stateMachine::proposalsFailed);
     this.sender = new EntrySender(log, network, settings);
   }
 
@@ -454,11 +455,8 @@
     }
     acceptLeader(request.from());
     if (request.previousIndex() < log.snapshotIndex()) {
-      respond(
-          request.from(),
-          true,
-          Math.min(log.snapshotIndex(), applied.commitIndex()),
-          request.round());
+      long covered = Math.min(log.snapshotIndex(), applied.commitIndex());
+      respond(request.from(), true, covered, request.round());
       return;
     }
     if (log.termAt(request.previousIndex()) != request.previousTerm()) {
--- a/server/src/main/java/org/streamcourse/version/agreement/StateMachine.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/StateMachine.java
@@ -32,6 +32,12 @@
    */
   void leadershipStarted(long term);
 
+  /**
+   * Called at the leader when proposed commands could not be stored; they are not in the log and
+   * may be proposed again.
+   */
+  default void proposalsFailed() {}
+
   /** Called when this controller has stopped being leader. */
   void leadershipEnded();
 }
--- a/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlTypes.java
@@ -7,9 +7,11 @@
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterDelta;
 import org.streamcourse.version.image.ClusterImage;
+import org.streamcourse.version.image.DocumentEdit;
 import org.streamcourse.version.image.GroupImage;
 import org.streamcourse.version.image.GroupRules;
 import org.streamcourse.version.image.KeyDigest;
+import org.streamcourse.version.image.ListEdit;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.MemberImage;
 import org.streamcourse.version.image.NodeImage;
@@ -26,6 +28,7 @@
 import org.streamcourse.version.image.TenantId;
 import org.streamcourse.version.image.TenantRule;
 import org.streamcourse.version.image.TermPosition;
+import org.streamcourse.version.image.TextEdit;
 
 /** Types that controllers store and send, in the order in which Kryo numbers them. */
 public final class ControlTypes {
@@ -106,6 +109,11 @@
           ControlMessage.QuotaShare.class,
           ControlMessage.QuotaNews.class);
 
+  /** Types that were added after the types of other packages had got their numbers. */
+  public static final List<Class<?>> ADDED =
+      List.of(
+          ListEdit.class, TextEdit.class, DocumentEdit.class, ClusterChange.DocumentEdited.class);
+
   private ControlTypes() {}
 
   /**
--- a/server/src/main/java/org/streamcourse/version/control/Controller.java
+++ b/server/src/main/java/org/streamcourse/version/control/Controller.java
@@ -373,24 +373,11 @@
     if (command.change() instanceof ClusterChange.QuotaGranted) {
       quotas.applied(machine.newGrants());
     }
-    groupOf(command.change())
+    GroupSupervisors.groupOf(command.change())
         .flatMap(name -> machine.image().group(name))
         .ifPresent(supervisors::check);
   }
 
-  private static Optional<String> groupOf(ClusterChange change) {
-    if (change instanceof ClusterChange.TermOpened opened) {
-      return Optional.of(opened.group());
-    }
-    if (change instanceof ClusterChange.PrimaryChosen chosen) {
-      return Optional.of(chosen.group());
-    }
-    if (change instanceof ClusterChange.PrimaryHandedOver handed) {
-      return Optional.of(handed.group());
-    }
-    return Optional.empty();
-  }
-
   @Override
   public void leadershipChanged(boolean leads, long term) {
     registry.clear();
@@ -410,6 +397,11 @@
     }
   }
 
+  @Override
+  public void proposalsFailed() {
+    services.proposalsFailed();
+  }
+
   private void supervise() {
     ClusterImage image = machine.image();
     admission.check(image);
--- a/server/src/main/java/org/streamcourse/version/control/ControllerStateMachine.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControllerStateMachine.java
@@ -44,6 +44,9 @@
      * @param term agreement term, 0 when the leadership ended
      */
     void leadershipChanged(boolean leads, long term);
+
+    /** Proposed commands could not be stored. */
+    default void proposalsFailed() {}
   }
 
   /**
@@ -202,6 +205,11 @@
     }
   }
 
+  @Override
+  public void proposalsFailed() {
+    listener.proposalsFailed();
+  }
+
   @Override
   public void leadershipStarted(long term) {
     listener.leadershipChanged(true, term);
--- a/server/src/main/java/org/streamcourse/version/control/GroupSupervisors.java
+++ b/server/src/main/java/org/streamcourse/version/control/GroupSupervisors.java
@@ -1,9 +1,11 @@
 package org.streamcourse.version.control;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.streamcourse.version.control.ControlMessage.MemberOrderResult;
+import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.GroupImage;
 
@@ -75,4 +77,18 @@
     supervisors.clear();
     lastCheckMillis = now;
   }
+
+  /** Returns the group whose primary a change concerns. */
+  static Optional<String> groupOf(ClusterChange change) {
+    if (change instanceof ClusterChange.TermOpened opened) {
+      return Optional.of(opened.group());
+    }
+    if (change instanceof ClusterChange.PrimaryChosen chosen) {
+      return Optional.of(chosen.group());
+    }
+    if (change instanceof ClusterChange.PrimaryHandedOver handed) {
+      return Optional.of(handed.group());
+    }
+    return Optional.empty();
+  }
 }
--- a/server/src/main/java/org/streamcourse/version/control/HeartbeatReplies.java
+++ b/server/src/main/java/org/streamcourse/version/control/HeartbeatReplies.java
@@ -54,9 +54,7 @@
   void reply(String node, long sequence, long version, boolean reportAll) {
     ClusterImage image = machine.image();
     Optional<ClusterDelta> delta =
-        image.isLargerThan(image.version() - version)
-            ? machine.deltaSince(version).map(ClusterDelta::forNodes)
-            : Optional.empty();
+        machine.deltaSince(version).filter(image::isLargerThan).map(ClusterDelta::forNodes);
     if (delta.isEmpty() && !maySendImage(node, sequence)) {
       return;
     }
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -1,15 +1,12 @@
 package org.streamcourse.version.control;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.streamcourse.version.control.PromotionAgent.Order;
 import org.streamcourse.version.control.PromotionAgent.Outcome;
 import org.streamcourse.version.control.ServiceCall.MemberHeartbeat;
@@ -18,6 +15,7 @@
 import org.streamcourse.version.control.ServiceCall.Result;
 import org.streamcourse.version.control.ServiceCall.Status;
 import org.streamcourse.version.image.ClusterChange;
+import org.streamcourse.version.image.ClusterChange.DocumentEdited;
 import org.streamcourse.version.image.ClusterChange.DocumentReplaced;
 import org.streamcourse.version.image.ClusterChange.MemberDeregistered;
 import org.streamcourse.version.image.ClusterChange.MemberRegistered;
@@ -73,9 +71,6 @@
   /** Time after the start of a leadership before a service without a known primary gets one. */
   private static final long PRIMARY_UNKNOWN_MILLIS = 3_000;
 
-  /** A call that is answered once the image fulfills a condition. */
-  private record PendingCall(Predicate<ClusterImage> done, Consumer<Result> answer) {}
-
   /** State of the order that is open for one service. */
   private static final class OpenOrder {
     private MemberId target = MemberId.NONE;
@@ -91,14 +86,14 @@
   private final PromotionAgent agent;
   private final MemberProbe probe;
   private final MemberHeartbeats heartbeats = new MemberHeartbeats();
-  private final List<PendingCall> pendingCalls = new ArrayList<>();
+  private final PendingCalls pendingCalls = new PendingCalls();
   private final Map<String, OpenOrder> orders = new HashMap<>();
   private final Map<String, ReplicaFence> fences = new HashMap<>();
   private final Set<String> withoutTarget = new HashSet<>();
   private final Map<String, Long> catchUpUntil = new HashMap<>();
   private final Set<String> resumed = new HashSet<>();
   private final Consumer<Runnable> onWorker;
-  private long proposedDocument = -1;
+  private final DocumentProposals documents;
   private long leadsSince;
 
   ServiceSupervisor(
@@ -115,6 +110,7 @@
     this.agent = agent;
     this.probe = probe;
     this.onWorker = onWorker;
+    this.documents = new DocumentProposals(actions::propose);
   }
 
   /** Discards all state when a leadership begins or ends. */
@@ -126,7 +122,7 @@
     withoutTarget.clear();
     catchUpUntil.clear();
     resumed.clear();
-    proposedDocument = -1;
+    documents.restart();
     leadsSince = actions.now();
   }
 
@@ -140,15 +136,18 @@
       answer.accept(new Result(Status.REFUSED, problem.get()));
       return;
     }
-    whenAgreed(image, next -> next.document().version() >= document.version(), answer);
-    boolean newer = document.version() > image.document().version();
-    if (newer && document.version() > proposedDocument) {
-      proposedDocument = document.version();
-      decided(Decision.Kind.DOCUMENT, "document", "operator", document, "proposed");
-      actions.propose(new DocumentReplaced(document));
+    long version = document.version();
+    pendingCalls.add(image, next -> next.document().version() >= version, answer);
+    if (documents.add(image, document)) {
+      decided(Decision.Kind.DOCUMENT, "document", "operator", document, "accepted");
     }
   }
 
+  /** Called when proposed changes could not be stored. */
+  void proposalsFailed() {
+    documents.failed();
+  }
+
   private void decided(
       Decision.Kind kind, String subject, String cause, RoutingDocument document, String outcome) {
     String inputs =
@@ -171,7 +170,7 @@
       register(image, call.service(), next, known);
     }
     observePrimary(service, call, becamePrimary);
-    whenAgreed(image, agreed -> isRegistered(agreed, call.service(), next), answer);
+    pendingCalls.add(image, agreed -> isRegistered(agreed, call.service(), next), answer);
   }
 
   private static boolean isRegistered(ClusterImage image, String service, RegisteredMember member) {
@@ -238,28 +237,16 @@
       return;
     }
     String name = service.get().name();
-    whenAgreed(image, next -> next.service(name).member(call.member()).isEmpty(), answer);
+    pendingCalls.add(image, next -> next.service(name).member(call.member()).isEmpty(), answer);
     remove(name, call.member(), "it leaves the service");
   }
 
-  private void whenAgreed(
-      ClusterImage image, Predicate<ClusterImage> done, Consumer<Result> answer) {
-    if (done.test(image)) {
-      answer.accept(Result.DONE);
-    } else {
-      pendingCalls.add(new PendingCall(done, answer));
-    }
-  }
-
   /** Answers the calls whose effect is now agreed, and sends an agreed order. */
   void applied(ClusterChange change, ClusterImage image) {
-    for (PendingCall each : List.copyOf(pendingCalls)) {
-      if (each.done().test(image)) {
-        pendingCalls.remove(each);
-        each.answer().accept(Result.DONE);
-      }
-    }
-    if (change instanceof PromotionOrdered ordered) {
+    pendingCalls.applied(image);
+    if (change instanceof DocumentReplaced || change instanceof DocumentEdited) {
+      documents.applied(image);
+    } else if (change instanceof PromotionOrdered ordered) {
       ServiceImage service = image.service(ordered.service());
       if (service.promotion().equals(ordered.target()) && service.fence() == image.version()) {
         sendOrder(service);
--- a/server/src/main/java/org/streamcourse/version/image/ClusterChange.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterChange.java
@@ -120,6 +120,13 @@
    */
   record DocumentReplaced(RoutingDocument document) implements ClusterChange {}
 
+  /**
+   * Changes the operators' document. Has no effect unless the document has the edit's base version.
+   *
+   * @param edit difference to the new document
+   */
+  record DocumentEdited(DocumentEdit edit) implements ClusterChange {}
+
   /**
    * Registers a member of a service, or updates a registered one.
    *
--- a/server/src/main/java/org/streamcourse/version/image/ClusterDelta.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterDelta.java
@@ -18,11 +18,36 @@
   public ClusterDelta forNodes() {
     List<ClusterChange> lean = new ArrayList<>();
     for (ClusterChange change : changes) {
-      lean.add(
-          change instanceof ClusterChange.DocumentReplaced replaced
-              ? new ClusterChange.DocumentReplaced(replaced.document().withoutSource())
-              : change);
+      lean.add(withoutSource(change));
     }
     return new ClusterDelta(fromVersion, lean);
   }
+
+  private static ClusterChange withoutSource(ClusterChange change) {
+    if (change instanceof ClusterChange.DocumentReplaced replaced) {
+      return new ClusterChange.DocumentReplaced(replaced.document().withoutSource());
+    }
+    if (change instanceof ClusterChange.DocumentEdited edited) {
+      return new ClusterChange.DocumentEdited(edited.edit().withoutSource());
+    }
+    return change;
+  }
+
+  /**
+   * Returns the number of entries that the changes contain: nodes, members, groups or rules.
+   *
+   * @return number of entries, at least one for each change
+   */
+  public long size() {
+    long entries = 0;
+    for (ClusterChange change : changes) {
+      entries += 1;
+      if (change instanceof ClusterChange.DocumentReplaced replaced) {
+        entries += replaced.document().routes().size();
+      } else if (change instanceof ClusterChange.DocumentEdited edited) {
+        entries += edited.edit().size();
+      }
+    }
+    return entries;
+  }
 }
--- a/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterImage.java
@@ -8,6 +8,7 @@
 import org.streamcourse.process.StreamcourseException;
 import org.streamcourse.version.image.ClusterChange.AllowancesSet;
 import org.streamcourse.version.image.ClusterChange.ConfigurationChange;
+import org.streamcourse.version.image.ClusterChange.DocumentEdited;
 import org.streamcourse.version.image.ClusterChange.DocumentReplaced;
 import org.streamcourse.version.image.ClusterChange.GroupCreated;
 import org.streamcourse.version.image.ClusterChange.GroupDropped;
@@ -94,18 +95,17 @@
   }
 
   /**
-   * Returns whether this image is larger than a number of changes, as an estimate: each change and
-   * each entry of an image contains one node, member or group.
+   * Returns whether this image is larger than a delta, as an estimate by the entries of both.
    *
-   * @param changes number of changes
+   * @param delta changes that lead to this image
    * @return true if sending the changes takes fewer bytes than sending the image
    */
-  public boolean isLargerThan(long changes) {
-    long entries = nodes.size() + groups.size();
+  public boolean isLargerThan(ClusterDelta delta) {
+    long entries = nodes.size() + groups.size() + document.routes().size();
     for (ServiceImage service : services.values()) {
       entries += service.members().size();
     }
-    return changes <= entries;
+    return delta.size() <= entries;
   }
 
   /**
@@ -160,6 +160,9 @@
       if (change instanceof DocumentReplaced replaced) {
         boolean newer = replaced.document().version() > nextDocument.version();
         nextDocument = newer ? replaced.document() : nextDocument;
+      } else if (change instanceof DocumentEdited edited) {
+        boolean fits = edited.edit().baseVersion() == nextDocument.version();
+        nextDocument = fits ? edited.edit().apply(nextDocument) : nextDocument;
       } else if (applyToServices(change, nextServices, nextVersion)) {
         continue;
       } else if (change instanceof NodeAdmitted || change instanceof NodeRemoved) {
--- a/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
@@ -19,6 +19,7 @@
 import org.streamcourse.version.control.ServiceCall.Status;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterImage;
+import org.streamcourse.version.image.LargeDocument;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.NodeImage;
 import org.streamcourse.version.image.Placement;
@@ -367,4 +368,54 @@
     reportPosition("i-2", false, 2, 89);
     assertEquals(ordered(), List.of(new MemberId("i-1")));
   }
+
+  private List<Result> replace(RoutingDocument document) {
+    List<Result> results = new ArrayList<>();
+    supervisor.replaceDocument(image, new ReplaceDocument(document), results::add);
+    return results;
+  }
+
+  /**
+   * Guards against documents that wait in the log and in memory though a newer one replaces them.
+   */
+  @Test
+  public void onlyTheNewestOfTheWaitingDocumentsIsProposed() {
+    LargeDocument versions = new LargeDocument(100);
+    List<List<Result>> answers = new ArrayList<>();
+    answers.add(replace(versions.addRoute()));
+    RoutingDocument newest = null;
+    for (int i = 0; i < 20; i++) {
+      newest = versions.changeRoute(i);
+      answers.add(replace(newest));
+    }
+    assertEquals(proposed.size(), 1, "one document is under way");
+    agree();
+    assertEquals(answers.get(0), List.of(Result.DONE));
+    assertEquals(answers.get(20), List.of());
+    assertEquals(proposed.size(), 1, "the newest one follows");
+    assertTrue(proposed.get(0) instanceof ClusterChange.DocumentEdited);
+    agree();
+    assertEquals(image.document(), newest);
+    answers.forEach(answer -> assertEquals(answer, List.of(Result.DONE)));
+    assertEquals(proposed, List.of());
+  }
+
+  /**
+   * Guards against a document that is never proposed again after a write to the disk has failed.
+   */
+  @Test
+  public void afterAFailedWriteADocumentIsProposedAgain() {
+    LargeDocument versions = new LargeDocument(10);
+    RoutingDocument first = versions.addRoute();
+    RoutingDocument second = versions.addRoute();
+    replace(first);
+    replace(second);
+    proposed.clear();
+    supervisor.proposalsFailed();
+    List<Result> answer = replace(first);
+    agree();
+    agree();
+    assertEquals(answer, List.of(Result.DONE));
+    assertEquals(image.document(), second);
+  }
 }
