A process ends after an error instead of serving without memory

Cause: a worker's guard caught RuntimeExceptions only; Reactor, Netty and the default handler log an Error and go on with whatever it left half done.

--- a/server/src/main/java/org/streamcourse/connection/member/TcpMemberDialer.java
+++ b/server/src/main/java/org/streamcourse/connection/member/TcpMemberDialer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import org.streamcourse.process.FatalErrors;
 import org.streamcourse.request.statement.Answer;
 
 /** Opens TCP connections to members on the event loop of the proxy's worker. */
@@ -79,6 +80,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable thrown) {
+      FatalErrors.check(thrown);
       cause = thrown.toString();
       context.close();
     }
--- a/server/src/main/java/org/streamcourse/connection/session/SessionPort.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionPort.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.streamcourse.process.FatalErrors;
 import org.streamcourse.request.statement.Answer;
 import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
@@ -104,6 +105,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       LOG.debug(
           "connection of caller {} failed: {}; closes it",
           context.channel().remoteAddress(),
--- a/server/src/main/java/org/streamcourse/connection/wire/WireChannel.java
+++ b/server/src/main/java/org/streamcourse/connection/wire/WireChannel.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.util.concurrent.TimeUnit;
 import org.streamcourse.connection.frontend.CallerChannel;
+import org.streamcourse.process.FatalErrors;
 import reactor.netty.Connection;
 
 /**
@@ -190,6 +191,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       reportClosed(cause);
       context.close();
     }
--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -101,6 +101,7 @@
 
   /** Starts all components. */
   public void start() {
+    FatalErrors.install();
     network.start(settings.links().host(), settings.links().port(), new AddressLearner());
     node.start();
     platformList.start(settings.platformList());
--- a/server/src/main/java/org/streamcourse/process/ProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyProcess.java
@@ -228,6 +228,7 @@
 
   /** Starts all components. */
   public void start() {
+    FatalErrors.install();
     network.start(settings.links().host(), settings.links().port(), node);
     node.agent().setSessionCount(sessions::count);
     node.start();
--- a/server/src/main/java/org/streamcourse/process/SchedulerWorker.java
+++ b/server/src/main/java/org/streamcourse/process/SchedulerWorker.java
@@ -61,7 +61,11 @@
       try {
         task.run();
       } catch (RuntimeException e) {
+        FatalErrors.check(e);
         LOG.error("task on a worker failed", e);
+      } catch (Error e) {
+        FatalErrors.check(e);
+        throw e;
       }
     };
   }
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -110,6 +110,7 @@
 
   /** Starts all components. */
   public void start() {
+    FatalErrors.install();
     network.start(settings.links().host(), settings.links().port(), node);
     node.start();
     if (metrics != null) {
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -116,6 +116,7 @@
    * @param callersPort port for callers if it is open already
    */
   public void start(Optional<PreboundPort> callersPort) {
+    FatalErrors.install();
     network.start(settings.links().host(), settings.links().port(), node);
     node.start();
     port.start(settings.sessions().host(), settings.sessions().port(), loop, callersPort);
