--- a/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
+++ b/server/src/main/java/org/streamcourse/connection/peer/TcpPeerNetwork.java
@@ -21,7 +21,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.connection.peer.LinkMessage.LinkHello;
+import org.streamcourse.process.FatalErrors;
 import org.streamcourse.process.FleetKey;
+import org.streamcourse.process.MemoryLimits;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.process.StreamcourseException;
 import org.streamcourse.version.image.Placement;
@@ -41,21 +43,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(TcpPeerNetwork.class);
   private static final int MAX_FRAME_BYTES = 96 * 1024 * 1024;
   private static final int LENGTH_BYTES = Integer.BYTES;
-  private static final int MAX_QUEUED_MESSAGES = 1_024;
-  private static final int MAX_UNSENT_BYTES = 32 * 1024 * 1024;
   private static final long MIN_REDIAL_MILLIS = 100;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
   /** Reply time-out where peers need not answer; long enough to have no effect in practice. */
   private static final Duration NO_REPLY_TIMEOUT = Duration.ofDays(1);
 
-  /** A message and its encoding. */
-  private record Outgoing(Object message, byte[] bytes) {
-    boolean expectsAnswer() {
-      return !(message instanceof OneWayMessage);
-    }
-  }
-
   private final String self;
   private final MessageCodec codec;
   private final FleetKey key;
@@ -65,6 +58,9 @@
   private final Map<String, Link> links = new ConcurrentHashMap<>();
   private final Set<String> acceptedPeers = ConcurrentHashMap.newKeySet();
   private final Map<String, Placement> placements = new ConcurrentHashMap<>();
+  private final UnsentLimit<Link> unsent =
+      new UnsentLimit<>(
+          MemoryLimits.ofThisProcess().unsentBytes(), links.values(), Link::unsentBytes);
   private final LinkTraffic traffic = new LinkTraffic();
   private final LinkLog log = new LinkLog();
   private final AtomicLong linkNumbers = new AtomicLong();
@@ -130,6 +126,15 @@
     placement = value;
   }
 
+  /**
+   * Returns the bytes that wait on all links.
+   *
+   * @return bytes
+   */
+  public long unsentBytes() {
+    return unsent.total();
+  }
+
   /**
    * Returns the counters of sent messages by kind and distance.
    *
@@ -198,15 +203,15 @@
     if (stopped) {
       return;
     }
-    Outgoing outgoing = outgoing(message);
+    OutgoingMessage outgoing = outgoing(message);
     peers.forEach(peer -> send(peer, outgoing));
   }
 
-  private Outgoing outgoing(Object message) {
-    return new Outgoing(message, codec.encode(message));
+  private OutgoingMessage outgoing(Object message) {
+    return new OutgoingMessage(message, codec.encode(message));
   }
 
-  private void send(String peer, Outgoing message) {
+  private void send(String peer, OutgoingMessage message) {
     links.computeIfAbsent(peer, Link::new).send(message);
   }
 
@@ -292,6 +297,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       if (cause instanceof StreamcourseException) {
         LOG.error("link from peer {} failed: {}; closes the link", peer, cause.toString());
       }
@@ -302,42 +308,34 @@
   /** A link opened by this process. Guarded by its lock, which is held during handler calls. */
   private final class Link {
     private final String peer;
-    private final List<Outgoing> queue = new ArrayList<>();
+    private final OutgoingQueue queue = new OutgoingQueue();
+    private final ReplyTimeout replies;
     private FramePacker packer = new FramePacker();
-    private Channel channel;
+    private volatile Channel channel;
     private boolean dialing;
     private long lastDialNanos;
     private long number;
     private long openedNanos;
     private long writtenMessages;
-    private long unansweredSinceNanos;
 
     Link(String peer) {
       this.peer = peer;
+      this.replies = new ReplyTimeout(peer, replyTimeout);
     }
 
-    synchronized void messageReceived() {
-      unansweredSinceNanos = 0;
+    /** Returns the bytes that the peer has not taken yet; may be called on any thread. */
+    private long unsentBytes() {
+      Channel open = channel;
+      ChannelOutboundBuffer buffer = open == null ? null : open.unsafe().outboundBuffer();
+      return queue.bytes() + (buffer == null ? 0 : buffer.totalPendingWriteBytes());
     }
 
-    /** Returns whether an answer is outstanding and nothing arrived within the reply time-out. */
-    private boolean isUnresponsive(boolean expectsAnswer) {
-      long now = System.nanoTime();
-      if (unansweredSinceNanos == 0) {
-        unansweredSinceNanos = expectsAnswer ? now : 0;
-        return false;
-      }
-      if (now - unansweredSinceNanos <= replyTimeout.toNanos()) {
-        return false;
-      }
-      LOG.info(
-          "no reply from peer {} within {} ms; opens a new link", peer, replyTimeout.toMillis());
-      unansweredSinceNanos = now;
-      return true;
+    synchronized void messageReceived() {
+      replies.messageReceived();
     }
 
-    synchronized void send(Outgoing message) {
-      if (channel != null && (!channel.isActive() || isUnresponsive(message.expectsAnswer()))) {
+    synchronized void send(OutgoingMessage message) {
+      if (channel != null && (!channel.isActive() || replies.isOverdue(message.expectsAnswer()))) {
         Channel broken = channel;
         ended();
         broken.close();
@@ -348,19 +346,19 @@
         write(message);
         return;
       }
-      if (queue.size() >= MAX_QUEUED_MESSAGES) {
-        reportUndelivered(List.of(message), MAX_QUEUED_MESSAGES + " messages are queued already");
+      if (queue.isFull() || unsent.isFull(this)) {
+        reportUndelivered(List.of(message), "too many messages wait already");
         return;
       }
       queue.add(message);
       dial();
     }
 
-    private void write(Outgoing message) {
-      ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
-      if (unsent != null && unsent.totalPendingWriteBytes() > MAX_UNSENT_BYTES) {
-        LOG.warn("more than {} unsent bytes to peer {}; closes the link", MAX_UNSENT_BYTES, peer);
+    private void write(OutgoingMessage message) {
+      if (unsent.isFull(this)) {
+        LOG.warn("{} unsent bytes to peer {} are too many; closes the link", unsentBytes(), peer);
         channel.close();
+        reportUndelivered(List.of(message), "too many bytes are unsent");
         return;
       }
       writtenMessages++;
@@ -430,9 +428,8 @@
           new LinkHello(LinkMessage.PROTOCOL_VERSION, self, key.sign(self), placement);
       packer.close();
       packer = new FramePacker();
-      List<Outgoing> messages = new ArrayList<>(queue);
-      queue.clear();
-      messages.add(0, outgoing(hello));
+      List<OutgoingMessage> messages = new ArrayList<>(List.of(outgoing(hello)));
+      messages.addAll(queue.takeAll());
       try {
         messages.forEach(this::write);
       } catch (RuntimeException e) {
@@ -451,15 +448,13 @@
     }
 
     private void drop(String cause) {
-      List<Outgoing> dropped = List.copyOf(queue);
-      queue.clear();
-      reportUndelivered(dropped, cause);
+      reportUndelivered(queue.takeAll(), cause);
     }
 
-    private void reportUndelivered(List<Outgoing> dropped, String cause) {
+    private void reportUndelivered(List<OutgoingMessage> dropped, String cause) {
       log.dropped(peer, dropped.size(), cause);
       if (handler != null) {
-        handler.undelivered(peer, dropped.stream().map(Outgoing::message).toList());
+        handler.undelivered(peer, dropped.stream().map(OutgoingMessage::message).toList());
       }
     }
 
