Calls with large documents are limited in bytes while they are read and wait

Cause: a body could have 8 MB, and any number of bodies, and of documents that wait for a controller whose disk stalls, was held at once: with a heap of 128 MB a few were enough.

All bodies that are held may take 1/16 of the heap, and so may the calls that wait for the worker, forwarded ones too; beyond that a call is refused at once with 503 and Retry-After.

--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/http/package-info.java
@@ -0,0 +1,2 @@
+/** Bodies of HTTP requests. */
+package org.streamcourse.connection.http;
--- a/server/src/main/java/org/streamcourse/process/ControllerNode.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerNode.java
@@ -42,6 +42,7 @@
   private final ServiceCallRouter serviceCalls;
   private final PeerNetwork network;
   private final String name;
+  private final ControllerMemory memory;
   private volatile List<String> controllers;
 
   /**
@@ -131,7 +132,9 @@
     controller =
         new Controller(worker, network, codec, agreement, machine, controlSettings, agents);
     router = new StatementRouter(worker, network, controller);
-    serviceCalls = new ServiceCallRouter(worker, network, controller);
+    MemoryLimits limits = agreementSettings.memory();
+    serviceCalls = new ServiceCallRouter(worker, network, controller, limits);
+    memory = new ControllerMemory(limits, log, machine, serviceCalls);
   }
 
   private static void initializeIdentity(
@@ -185,6 +188,15 @@
     return controller;
   }
 
+  /**
+   * Returns what this controller keeps in memory.
+   *
+   * @return sizes
+   */
+  public ControllerMemory memory() {
+    return memory;
+  }
+
   /**
    * Returns the router for operators' statements.
    *
@@ -230,6 +242,11 @@
 
   @Override
   public void receive(String peer, Object message) {
+    if (message instanceof ControlMessage.ForwardedCall
+        || message instanceof ControlMessage.ForwardedResult) {
+      serviceCalls.receive(peer, message);
+      return;
+    }
     worker.execute(
         () -> {
           if (message instanceof ControlMessage.JoinEnvelope join) {
@@ -237,9 +254,6 @@
           } else if (message instanceof ControlMessage.AdminRequest
               || message instanceof ControlMessage.AdminResponse) {
             router.receive(peer, message);
-          } else if (message instanceof ControlMessage.ForwardedCall
-              || message instanceof ControlMessage.ForwardedResult) {
-            serviceCalls.receive(peer, message);
           } else {
             controller.receive(peer, message);
           }
--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -83,7 +83,8 @@
         "streamcourse_commit_index",
         "Index of the last committed log entry.",
         () -> node.controller().agreement().commitIndex());
-    metrics.linkTraffic(network.traffic());
+    node.memory().addTo(metrics);
+    metrics.peerNetwork(network);
     metrics.gauge("streamcourse_link_sent_bytes", "Bytes sent on peer links.", network::sentBytes);
     metrics.gauge(
         "streamcourse_link_received_bytes",
--- a/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
+++ b/server/src/main/java/org/streamcourse/process/MetricsEndpoint.java
@@ -17,6 +17,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.streamcourse.connection.peer.LinkTraffic;
+import org.streamcourse.connection.peer.TcpPeerNetwork;
 import org.streamcourse.process.settings.HostPort;
 
 /** Serves the process's metrics as Prometheus text at {@code /metrics}. */
@@ -54,6 +55,33 @@
     Gauge.builder(name, value).description(help).register(registry);
   }
 
+  /**
+   * Adds the gauges {@code NAME_bytes} and {@code NAME_limit_bytes} of something kept in memory.
+   *
+   * @param name beginning of the metrics' names
+   * @param what what is kept
+   * @param limit its limit in bytes
+   * @param value supplies its present size in bytes
+   */
+  public void limitedBytes(String name, String what, long limit, Supplier<Number> value) {
+    gauge(name + "_bytes", what + ", in bytes.", value);
+    gauge(name + "_limit_bytes", what + ": limit in bytes.", () -> limit);
+  }
+
+  /**
+   * Adds the metrics of the links to other processes.
+   *
+   * @param network links of this process
+   */
+  public void peerNetwork(TcpPeerNetwork network) {
+    limitedBytes(
+        "streamcourse_peer_unsent",
+        "Messages that peers have not taken",
+        MemoryLimits.ofThisProcess().unsentBytes(),
+        network::unsentBytes);
+    linkTraffic(network.traffic());
+  }
+
   /**
    * Adds counters of traffic on peer links, by message kind and distance.
    *
--- a/server/src/main/java/org/streamcourse/process/ProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyProcess.java
@@ -167,7 +167,7 @@
   }
 
   private void addMetrics() {
-    metrics.linkTraffic(network.traffic());
+    metrics.peerNetwork(network);
     metrics.gauge("streamcourse_sessions", "Sessions of logged-in callers.", sessions::count);
     metrics.gauge(
         "streamcourse_edge_streams",
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.streamcourse.connection.http.RequestBodies;
 import org.streamcourse.connection.member.MemberDialer;
 import org.streamcourse.connection.member.MemberProtocol;
 import org.streamcourse.connection.member.TcpMemberDialer;
@@ -33,6 +34,8 @@
   private final FolderDisk disk;
   private final ControllerNode node;
   private final MetricsEndpoint metrics;
+  private final MemoryLimits limits = MemoryLimits.ofThisProcess();
+  private final ByteBudget heldBodies = new ByteBudget(limits.callsBytes());
   private CallerPort adminPort;
 
   /**
@@ -71,9 +74,7 @@
             network,
             disk,
             codec,
-            AgreementSettings.DEFAULT
-                .withMaxVoters(settings.maxVoters())
-                .withMemory(MemoryLimits.ofThisProcess()),
+            AgreementSettings.DEFAULT.withMaxVoters(settings.maxVoters()).withMemory(limits),
             ControlSettings.DEFAULT.withQuotas(settings.quotas()),
             new SecureRandom(),
             new ServiceAgents(promotionAgent, probe(loop, memberProtocol)));
@@ -100,7 +101,13 @@
         "streamcourse_image_version",
         "Version of the agreed image.",
         () -> node.controller().image().version());
-    endpoint.linkTraffic(network.traffic());
+    node.memory().addTo(endpoint);
+    endpoint.limitedBytes(
+        "streamcourse_request_bodies",
+        "Bodies of calls that are not answered",
+        limits.callsBytes(),
+        heldBodies::used);
+    endpoint.peerNetwork(network);
     endpoint.gauge(
         "streamcourse_log_lines_lost",
         "Log lines dropped because the queue was full.",
@@ -123,6 +130,15 @@
     LOG.info("controller {} accepts links at {}", settings.name(), settings.links());
   }
 
+  /**
+   * Returns the limits of the bodies of calls.
+   *
+   * @return limits of this process
+   */
+  public RequestBodies requestBodies() {
+    return new RequestBodies(limits.documentBytes(), heldBodies);
+  }
+
   /**
    * Executes a call of an operator or a member.
    *
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -105,7 +105,7 @@
 
   private MetricsEndpoint metrics(RequestLog log) {
     MetricsEndpoint endpoint = new MetricsEndpoint();
-    endpoint.linkTraffic(network.traffic());
+    endpoint.peerNetwork(network);
     log.observe(new StatementMetrics(endpoint, node, log));
     return endpoint;
   }
--- a/server/src/main/java/org/streamcourse/version/control/LeaderForwarder.java
+++ b/server/src/main/java/org/streamcourse/version/control/LeaderForwarder.java
@@ -73,7 +73,8 @@
     worker.execute(() -> route(request, answer));
   }
 
-  private void route(Q request, Consumer<R> answer) {
+  /** Executes a request here or at the leader; runs on the controller's worker. */
+  void route(Q request, Consumer<R> answer) {
     if (controller.agreement().isLeader()) {
       executor.accept(request, answer);
       return;
--- a/server/src/main/java/org/streamcourse/version/control/ServiceCall.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceCall.java
@@ -6,13 +6,27 @@
 
 /** Calls of operators and database members to the controllers; only the leader carries them out. */
 public sealed interface ServiceCall {
+  /**
+   * Returns the size of the document that the call contains.
+   *
+   * @return bytes; 0 for a call without a document
+   */
+  default long bytes() {
+    return 0;
+  }
+
   /**
    * Replaces the routing document. Answered with {@link Status#DONE} once this version or a higher
    * one is agreed.
    *
    * @param document new document
    */
-  record ReplaceDocument(RoutingDocument document) implements ServiceCall {}
+  record ReplaceDocument(RoutingDocument document) implements ServiceCall {
+    @Override
+    public long bytes() {
+      return document.source().length();
+    }
+  }
 
   /**
    * Reads the newest document; answered only by a leader that a majority confirms after the call
--- a/server/src/main/java/org/streamcourse/version/control/ServiceCallRouter.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceCallRouter.java
@@ -2,6 +2,8 @@
 
 import java.util.function.Consumer;
 import org.streamcourse.connection.peer.PeerNetwork;
+import org.streamcourse.process.ByteBudget;
+import org.streamcourse.process.MemoryLimits;
 import org.streamcourse.process.Worker;
 import org.streamcourse.version.control.ControlMessage.ForwardedCall;
 import org.streamcourse.version.control.ControlMessage.ForwardedResult;
@@ -11,7 +13,12 @@
 public final class ServiceCallRouter {
   private static final long FORWARD_TIMEOUT_MILLIS = 5_000;
 
+  private final Worker worker;
   private final PeerNetwork network;
+
+  /** Bytes of the calls that the worker has not begun to carry out. */
+  private final ByteBudget waiting;
+
   private final LeaderForwarder<ServiceCall, Result> forwarder;
 
   /**
@@ -20,9 +27,13 @@
    * @param worker the controller's worker
    * @param network sends messages to other controllers
    * @param controller this controller
+   * @param limits limits of what is kept in memory
    */
-  public ServiceCallRouter(Worker worker, PeerNetwork network, Controller controller) {
+  public ServiceCallRouter(
+      Worker worker, PeerNetwork network, Controller controller, MemoryLimits limits) {
+    this.worker = worker;
     this.network = network;
+    this.waiting = new ByteBudget(limits.callsBytes());
     this.forwarder =
         new LeaderForwarder<>(
             worker,
@@ -41,23 +52,52 @@
    *     changes
    */
   public void execute(ServiceCall call, Consumer<Result> answer) {
-    forwarder.execute(call, answer);
+    queue(call, answer, () -> forwarder.route(call, answer));
+  }
+
+  /**
+   * Runs a task for a call on the worker, unless too many bytes of calls wait for it; then the call
+   * is refused at once.
+   */
+  private void queue(ServiceCall call, Consumer<Result> answer, Runnable task) {
+    long bytes = call.bytes();
+    if (!waiting.tryTake(bytes)) {
+      answer.accept(Result.unavailable("too many large calls wait; try again in a second"));
+      return;
+    }
+    worker.execute(
+        () -> {
+          waiting.release(bytes);
+          task.run();
+        });
+  }
+
+  /**
+   * Returns the bytes of the calls that wait for the worker.
+   *
+   * @return bytes
+   */
+  public long waitingBytes() {
+    return waiting.used();
   }
 
   /**
-   * Handles a message from another controller.
+   * Handles a message from another controller, on any thread.
    *
    * @param peer name of the sender
    * @param message the message
    */
   public void receive(String peer, Object message) {
     if (message instanceof ForwardedCall forwarded) {
-      forwarder.executeForwarded(
+      Consumer<Result> reply =
+          result -> network.send(peer, new ForwardedResult(forwarded.callId(), result));
+      Result notLeading = Result.unavailable("the leader has changed");
+      queue(
           forwarded.call(),
-          result -> network.send(peer, new ForwardedResult(forwarded.callId(), result)),
-          Result.unavailable("the leader has changed"));
+          reply,
+          () -> forwarder.executeForwarded(forwarded.call(), reply, notLeading));
     } else if (message instanceof ForwardedResult forwarded) {
-      forwarder.onResponse(forwarded.callId(), forwarded.result());
+      worker.execute(() -> forwarder.onResponse(forwarded.callId(), forwarded.result()));
     }
   }
 }
--- a/server/src/test/java/org/streamcourse/process/ControlFleet.java
+++ b/server/src/test/java/org/streamcourse/process/ControlFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.streamcourse.connection.peer.LinkTraffic;
 import org.streamcourse.connection.peer.PeerDistance;
@@ -57,6 +58,7 @@
   private final Map<String, ControllerNode> controllers = new TreeMap<>();
   private final Map<String, NodeAgent> nodes = new TreeMap<>();
   private final List<String> controllerNames = new ArrayList<>();
+  private final MemoryLimits limits;
 
   /**
    * Creates a fleet that is not started.
@@ -64,6 +66,17 @@
    * @param nodeCount nodes, spread over all zones
    */
   public ControlFleet(int nodeCount) {
+    this(nodeCount, MemoryLimits.DEFAULT);
+  }
+
+  /**
+   * Creates a fleet that is not started.
+   *
+   * @param nodeCount nodes, spread over all zones
+   * @param limits memory limits of the controllers
+   */
+  public ControlFleet(int nodeCount, MemoryLimits limits) {
+    this.limits = limits;
     for (int i = 0; i < ZONES; i++) {
       controllerNames.add("10.0." + i + ".1:7000");
     }
@@ -96,7 +109,7 @@
             network,
             new MemoryDisk(),
             StreamTypes.codec(),
-            AgreementSettings.DEFAULT.withMaxVoters(MAX_VOTERS),
+            AgreementSettings.DEFAULT.withMaxVoters(MAX_VOTERS).withMemory(limits),
             ControlSettings.DEFAULT,
             new Random(name.hashCode()));
     node.controller().setPlacement(placement);
@@ -198,7 +211,12 @@
   }
 
   private void call(int controller, ServiceCall call) {
-    controllers.get(controllerNames.get(controller)).serviceCalls().execute(call, result -> {});
+    call(controller, call, result -> {});
+  }
+
+  /** Calls a controller as an operator or a member does. */
+  public void call(int controller, ServiceCall call, Consumer<ServiceCall.Result> answer) {
+    controllers.get(controllerNames.get(controller)).serviceCalls().execute(call, answer);
   }
 
   private long nowMillis() {
