A document that is not valid UTF-8 is refused (CONFIG, an invalid one is taken)

Callers saw: a document with a byte that is no UTF-8 was acknowledged, read back as another text than was sent, and obeyed. Cause: RequestBodies decoded bodies with replacement characters, so that a document that can't be read whole was parsed as a different one. The class of fault: a decoder that repairs its input before it is checked.

--- a/server/src/main/java/org/streamcourse/connection/http/RequestBodies.java
+++ b/server/src/main/java/org/streamcourse/connection/http/RequestBodies.java
@@ -1,6 +1,8 @@
 package org.streamcourse.connection.http;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 import org.streamcourse.process.ByteBudget;
@@ -27,23 +29,33 @@
     this.held = held;
   }
 
-  /** Signals a body that is not read; the rest of it is discarded. */
+  /** Why a body is refused. */
+  public enum Refusal {
+    /** The body is longer than the limit for one body. */
+    TOO_LARGE,
+    /** Too many bytes are held; the same request may be accepted later. */
+    TOO_MANY,
+    /** The body is not valid UTF-8. */
+    MALFORMED
+  }
+
+  /** Signals a body that is not used; the rest of it is discarded. */
   public static final class RefusedException extends RuntimeException {
     private static final long serialVersionUID = 1;
-    private final boolean temporary;
+    private final Refusal refusal;
 
-    RefusedException(String reason, boolean temporary) {
+    RefusedException(Refusal refusal, String reason) {
       super(reason, null, false, false);
-      this.temporary = temporary;
+      this.refusal = refusal;
     }
 
     /**
-     * Returns whether the same request may be accepted later.
+     * Returns why the body is refused.
      *
-     * @return false for a body over the limit
+     * @return kind of refusal
      */
-    public boolean isTemporary() {
-      return temporary;
+    public Refusal refusal() {
+      return refusal;
     }
   }
 
@@ -62,16 +74,30 @@
       if (length > maxBytes) {
         String size = announced.isEmpty() ? "more than " + maxBytes : announced;
         throw new RefusedException(
-            "body of " + size + " bytes exceeds the limit of " + maxBytes + " bytes", false);
+            Refusal.TOO_LARGE,
+            "body of " + size + " bytes exceeds the limit of " + maxBytes + " bytes");
       }
       if (!held.tryTake(part.length)) {
-        throw new RefusedException("too many large requests; try again in a second", true);
+        throw new RefusedException(
+            Refusal.TOO_MANY, "too many large requests; try again in a second");
       }
       taken += part.length;
       content.writeBytes(part);
       return this;
     }
 
+    /** Decodes the body strictly: replacing bytes would make another text of it. */
+    private String text() {
+      try {
+        return StandardCharsets.UTF_8
+            .newDecoder()
+            .decode(ByteBuffer.wrap(content.toByteArray()))
+            .toString();
+      } catch (CharacterCodingException e) {
+        throw new RefusedException(Refusal.MALFORMED, "body: not valid UTF-8");
+      }
+    }
+
     private void release() {
       held.release(taken);
       taken = 0;
@@ -85,7 +111,7 @@
    * @param announced value of the request's Content-Length header, or an empty text
    * @param use uses the text of the body and completes when the response has been sent
    * @return completes with {@code use}; fails with {@link RefusedException} when a limit is
-   *     exceeded
+   *     exceeded or the body is malformed
    */
   public Mono<Void> read(Flux<byte[]> parts, String announced, Function<String, Mono<Void>> use) {
     return Mono.using(
@@ -93,7 +119,7 @@
         body ->
             parts
                 .reduce(body, Body::append)
-                .flatMap(whole -> use.apply(whole.content.toString(StandardCharsets.UTF_8)))
+                .flatMap(whole -> use.apply(whole.text()))
                 .doOnError(FatalErrors::check),
         Body::release);
   }
