--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -101,6 +101,10 @@
         "streamcourse_image_version",
         "Version of the agreed image.",
         () -> node.controller().image().version());
+    endpoint.gauge(
+        "streamcourse_document_version",
+        "Version of the agreed routing document, -1 without one.",
+        () -> node.controller().image().document().version());
     node.memory().addTo(endpoint);
     endpoint.limitedBytes(
         "streamcourse_request_bodies",
--- a/server/src/main/java/org/streamcourse/process/StatementMetrics.java
+++ b/server/src/main/java/org/streamcourse/process/StatementMetrics.java
@@ -20,10 +20,7 @@
 
   StatementMetrics(MetricsEndpoint endpoint, StatementProxyNode node, RequestLog log) {
     endpoint.gauge("streamcourse_sessions", "Open sessions of callers.", node::openSessions);
-    endpoint.gauge(
-        "streamcourse_image_version",
-        "Version of the image in force.",
-        () -> node.image().version());
+    addImageMetrics(endpoint, node);
     endpoint.gauge(
         "streamcourse_reroutes",
         "Times a statement was rerouted to another member.",
@@ -84,6 +81,21 @@
             "answered");
   }
 
+  private static void addImageMetrics(MetricsEndpoint endpoint, StatementProxyNode node) {
+    endpoint.gauge(
+        "streamcourse_image_version",
+        "Version of the image in force.",
+        () -> node.image().version());
+    endpoint.gauge(
+        "streamcourse_document_version",
+        "Version of the routing document in force, -1 without one.",
+        () -> node.image().document().version());
+    endpoint.gauge(
+        "streamcourse_confirmed",
+        "1 while the controllers have confirmed the image recently, else 0.",
+        () -> node.agent().isConfirmed() ? 1 : 0);
+  }
+
   private static void addLinkMetrics(MetricsEndpoint endpoint, StatementProxyNode node) {
     endpoint.gauge(
         "streamcourse_slots_taken",
--- a/server/src/main/java/org/streamcourse/version/control/Controller.java
+++ b/server/src/main/java/org/streamcourse/version/control/Controller.java
@@ -50,6 +50,7 @@
   private final NodeRegistry registry = new NodeRegistry();
   private final NodeAdmission admission;
   private final PlatformWatch platform = new PlatformWatch(new PlatformActions());
+  private final DocumentLog documentLog = new DocumentLog();
   private final DecisionHistory decisions = new DecisionHistory();
   private final Map<String, Consumer<CommandOutcome>> waitingCommands = new HashMap<>();
   private final GroupSupervisor.Actions actions = new SupervisorActions();
@@ -347,6 +348,7 @@
 
   @Override
   public void applied(LoggedCommand command, CommandOutcome outcome) {
+    documentLog.applied(machine.image(), agreement.leader().isEmpty());
     Consumer<CommandOutcome> waiting = waitingCommands.remove(command.commandId());
     if (waiting != null) {
       decisions.record(
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -42,9 +42,6 @@
   private static final int UNANSWERED_HEARTBEATS_BEFORE_NEXT = 2;
   private static final int MAX_SENT_TIMES = 64;
 
-  /** Time between requests for an image: a round trip between regions and the image's transfer. */
-  private static final long IMAGE_REQUEST_MILLIS = 150;
-
   private final Worker worker;
   private final PeerNetwork network;
   private final ImageStore store;
@@ -56,9 +53,9 @@
   private final List<Runnable> confirmationListeners = new CopyOnWriteArrayList<>();
   private final MemberReports reports = new MemberReports();
   private final TreeMap<Long, Long> sentAt = new TreeMap<>();
+  private final NodeConfirmation confirmation;
+  private final ImageRequests imageRequests;
   private volatile ClusterImage image;
-  private volatile long lastConfirmedMillis;
-  private volatile boolean everConfirmed;
   private volatile boolean leaving;
   private Runnable storedImageListener = () -> {};
   private IntSupplier sessions = () -> 0;
@@ -66,8 +63,6 @@
   private long heldVersion;
   private long sequence;
   private int controllerIndex;
-  private volatile long startedMillis;
-  private String imageSource = "";
   private long lastAnswerMillis;
   private boolean answered;
   private boolean reportAll = true;
@@ -99,6 +94,8 @@
     this.seeds = new CopyOnWriteArrayList<>(controllers);
     this.controllers = List.copyOf(controllers);
     this.self = self;
+    this.confirmation = new NodeConfirmation(worker, settings);
+    this.imageRequests = new ImageRequests(worker, network, () -> image.version() > 0);
     this.store = new ImageStore(disk, codec);
     this.image = store.load();
   }
@@ -123,8 +120,8 @@
 
   /** Starts the heartbeats. */
   public void start() {
-    startedMillis = worker.now();
-    lastAnswerMillis = startedMillis;
+    confirmation.start();
+    lastAnswerMillis = worker.now();
     startupHeartbeats();
     timer = worker.repeat(settings.heartbeatMillis(), this::heartbeat);
   }
@@ -135,7 +132,7 @@
    * one controller after the other.
    */
   private void startupHeartbeats() {
-    if (everConfirmed) {
+    if (confirmation.hasAny()) {
       return;
     }
     int receivers = image.version() == 0 ? controllers.size() : 1;
@@ -191,7 +188,7 @@
    * @return true when a heartbeat sent less than this time ago was confirmed; safe from any thread
    */
   public boolean wasConfirmedWithin(long millis) {
-    return everConfirmed && worker.now() - lastConfirmedMillis < millis;
+    return confirmation.isWithin(millis);
   }
 
   /**
@@ -201,8 +198,7 @@
    * @return true when it was neither started nor confirmed recently; safe from any thread
    */
   public boolean isCutOff() {
-    long since = everConfirmed ? lastConfirmedMillis : startedMillis;
-    return worker.now() - since >= settings.confirmationMillis();
+    return confirmation.isCutOff();
   }
 
   /**
@@ -306,32 +302,12 @@
   }
 
   /**
-   * Requests the image of another node while this node has none. Controllers may be unreachable
-   * while other nodes are reachable: without this, proxies that started behind a partition served
-   * nothing until it ended. Since messages may be lost, the request is repeated until an image has
-   * arrived, to the node from which a message arrived last.
+   * Requests the image of another node if this node has none.
    *
    * @param node name of a node from which a message has just arrived
    */
   public void requestImageFrom(String node) {
-    boolean requesting = !imageSource.isEmpty();
-    imageSource = image.version() > 0 ? "" : node;
-    if (!requesting) {
-      requestImage();
-    }
-  }
-
-  private void requestImage() {
-    if (image.version() > 0 || imageSource.isEmpty()) {
-      imageSource = "";
-      return;
-    }
-    LOG.info(
-        "requests the image of {}, {} ms after the start",
-        imageSource,
-        worker.now() - startedMillis);
-    network.send(imageSource, new ImageRequest());
-    worker.schedule(IMAGE_REQUEST_MILLIS, this::requestImage);
+    imageRequests.reached(node);
   }
 
   /**
@@ -384,33 +360,20 @@
     }
     if (reply.image() != null && reply.image().version() > image.version()) {
       store.save(reply.image());
-      install(reply.image());
+      install(reply.image(), "reply");
     } else if (reply.delta() != null && reply.delta().fromVersion() == image.version()) {
-      install(reply.delta());
+      install(reply.delta(), "reply");
     }
-    logConfirmation(sent);
-    lastConfirmedMillis = Math.max(lastConfirmedMillis, sent);
-    everConfirmed = true;
+    confirmation.confirmed(sent, image);
     confirmationListeners.forEach(Runnable::run);
     if (reportAll) {
       scheduleHeartbeat();
     }
   }
 
-  /** Logs the first confirmation, and each one after an interruption. */
-  private void logConfirmation(long sent) {
-    if (!isConfirmed()) {
-      LOG.info(
-          "confirmed by the controllers, image version {}, document version {}, {} ms unconfirmed",
-          image.version(),
-          image.document().version(),
-          everConfirmed ? sent - lastConfirmedMillis : worker.now() - startedMillis);
-    }
-  }
-
   private void onPush(ClusterDelta delta) {
     if (delta.fromVersion() == image.version()) {
-      install(delta);
+      install(delta, "push");
     } else if (delta.fromVersion() > image.version()) {
       scheduleHeartbeat();
     }
@@ -418,7 +381,7 @@
 
   /** Installs a stored image before the first confirmation, whose image is at least as new. */
   private void onStoredImage(String source, ClusterImage stored) {
-    if (everConfirmed || stored.version() <= image.version()) {
+    if (confirmation.hasAny() || stored.version() <= image.version()) {
       return;
     }
     LOG.info(
@@ -426,9 +389,9 @@
         source,
         stored.version(),
         stored.document().version(),
-        worker.now() - startedMillis);
+        confirmation.millisSinceStart());
     store.save(stored);
-    install(stored);
+    install(stored, "stored image");
     storedImageListener.run();
   }
 
@@ -447,11 +410,11 @@
     }
   }
 
-  private void install(ClusterDelta delta) {
+  private void install(ClusterDelta delta, String source) {
     if (!delta.changes().isEmpty()) {
       ClusterImage next = image.apply(delta);
       store.save(delta, next);
-      install(next);
+      install(next, source);
     }
   }
 
@@ -460,9 +423,17 @@
    * heartbeat for each version, the number sent by a starting fleet would grow with its size
    * squared.
    */
-  private void install(ClusterImage next) {
+  private void install(ClusterImage next, String source) {
+    long documentBefore = image.document().version();
     image = next;
-    LOG.debug("image version {}", next.version());
+    if (next.document().version() != documentBefore) {
+      LOG.info(
+          "document in force, version {}, image version {}, source {}, confirmed {}",
+          next.document().version(),
+          next.version(),
+          source,
+          isConfirmed());
+    }
     for (Consumer<ClusterImage> listener : listeners) {
       listener.accept(next);
     }
