A node that lacks a change is not confirmed, and changes that overlap are taken (CONFIG, not in force in time)

Callers would see: a node that counts as up to date although it follows an older document, and changes that wait up to 0.5 s for the next heartbeat when a push overlaps what a reply brought. Cause: a reply confirmed the node whatever became of its changes, and changes were taken only if they began exactly at the node's version. Evidence: NodeAgentTest, two methods, failed before: 'versions 1 and 2 are missing expected [false] but found [true]' and 'expected [4] but found [2]'. Each change leads to one version, so the version that a reply stands for is known: a node that has not reached it asks again at once; of changes that overlap the missing ones are applied.

--- a/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
+++ b/server/src/main/java/org/streamcourse/version/control/ControlMessage.java
@@ -93,6 +93,18 @@
       boolean reportAll,
       List<String> controllers)
       implements ControlMessage {
+    /**
+     * Returns the version of the leader's image, which a node must have reached to be confirmed.
+     *
+     * @return image version, 0 if the reply contains none
+     */
+    public long version() {
+      if (image != null) {
+        return image.version();
+      }
+      return delta == null ? 0 : delta.toVersion();
+    }
+
     /**
      * Creates a reply that names no controllers.
      *
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -361,9 +361,14 @@
     if (reply.image() != null && reply.image().version() > image.version()) {
       store.save(reply.image());
       install(reply.image(), "reply");
-    } else if (reply.delta() != null && reply.delta().fromVersion() == image.version()) {
+    } else if (reply.delta() != null) {
       install(reply.delta(), "reply");
     }
+    if (reply.version() > image.version()) {
+      // The changes do not fit the image, so the image is not confirmed.
+      scheduleHeartbeat();
+      return;
+    }
     confirmation.confirmed(sent, image);
     confirmationListeners.forEach(Runnable::run);
     if (reportAll) {
@@ -372,9 +377,8 @@
   }
 
   private void onPush(ClusterDelta delta) {
-    if (delta.fromVersion() == image.version()) {
-      install(delta, "push");
-    } else if (delta.fromVersion() > image.version()) {
+    install(delta, "push");
+    if (delta.fromVersion() > image.version()) {
       scheduleHeartbeat();
     }
   }
@@ -410,10 +414,12 @@
     }
   }
 
+  /** Installs the changes that the image lacks, unless changes before them are missing too. */
   private void install(ClusterDelta delta, String source) {
-    if (!delta.changes().isEmpty()) {
-      ClusterImage next = image.apply(delta);
-      store.save(delta, next);
+    ClusterDelta missing = delta.after(image.version());
+    if (!missing.changes().isEmpty()) {
+      ClusterImage next = image.apply(missing);
+      store.save(missing, next);
       install(next, source);
     }
   }
--- a/server/src/main/java/org/streamcourse/version/image/ClusterDelta.java
+++ b/server/src/main/java/org/streamcourse/version/image/ClusterDelta.java
@@ -10,6 +10,32 @@
  * @param changes changes in order, one for each version
  */
 public record ClusterDelta(long fromVersion, List<ClusterChange> changes) {
+  /**
+   * Returns the version that the last change leads to.
+   *
+   * @return image version
+   */
+  public long toVersion() {
+    return fromVersion + changes.size();
+  }
+
+  /**
+   * Returns the changes that an image lacks.
+   *
+   * @param version version of the image
+   * @return changes from that version on; none if changes before them are missing too
+   */
+  public ClusterDelta after(long version) {
+    if (version == fromVersion) {
+      return this;
+    }
+    List<ClusterChange> missing = new ArrayList<>();
+    if (version > fromVersion && version < toVersion()) {
+      missing.addAll(changes.subList((int) (version - fromVersion), changes.size()));
+    }
+    return new ClusterDelta(version, missing);
+  }
+
   /**
    * Removes content that only controllers need.
    *
--- a/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
@@ -1,6 +1,7 @@
 package org.streamcourse.version.control;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -11,8 +12,11 @@
 import org.streamcourse.process.SchedulerWorker;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
+import org.streamcourse.version.control.ControlMessage.ImagePush;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
+import org.streamcourse.version.image.ClusterChange;
+import org.streamcourse.version.image.ClusterDelta;
 import org.streamcourse.version.image.NodeImage;
 import org.streamcourse.version.image.Placement;
 import org.streamcourse.version.image.TermPosition;
@@ -84,4 +88,66 @@
   private static void answer(NodeAgent agent, NodeHeartbeat heartbeat) {
     agent.receive("c1:1", new HeartbeatReply(heartbeat.sequence(), null, null, false));
   }
+
+  private static ClusterChange admitted(int number) {
+    String name = "n" + number + ":1";
+    return new ClusterChange.NodeAdmitted(
+        new NodeImage(name, 1, "n" + number, 1, new Placement("r", "z"), false));
+  }
+
+  private static ClusterDelta delta(long fromVersion, int changes) {
+    List<ClusterChange> added = new ArrayList<>();
+    for (int i = 1; i <= changes; i++) {
+      added.add(admitted((int) fromVersion + i));
+    }
+    return new ClusterDelta(fromVersion, added);
+  }
+
+  private static NodeAgent started(VirtualTimeScheduler clock, List<NodeHeartbeat> sent) {
+    NodeAgent agent =
+        new NodeAgent(
+            SchedulerWorker.onSchedulerClock(clock),
+            (peer, message) -> sent.add((NodeHeartbeat) message),
+            new MemoryDisk(),
+            StreamTypes.codec(),
+            ControlSettings.DEFAULT,
+            List.of("c1:1"),
+            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false));
+    agent.start();
+    return agent;
+  }
+
+  private static void reply(NodeAgent agent, NodeHeartbeat heartbeat, ClusterDelta delta) {
+    agent.receive("c1:1", new HeartbeatReply(heartbeat.sequence(), delta, null, false));
+  }
+
+  /** Guards against a node that counts as up to date although it lacks a change. */
+  @Test
+  public void aReplyWhoseChangesDoNotFitDoesNotConfirmTheImage() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<NodeHeartbeat> sent = new ArrayList<>();
+    NodeAgent agent = started(clock, sent);
+    reply(agent, last(sent), delta(2, 1));
+    assertFalse(agent.isConfirmed(), "versions 1 and 2 are missing");
+    int before = sent.size();
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    assertTrue(sent.size() > before, "asks for them at once");
+    reply(agent, last(sent), delta(0, 3));
+    assertTrue(agent.isConfirmed());
+    assertEquals(agent.image().version(), 3);
+  }
+
+  /** Guards against a change that waits for the next heartbeat since a push overlaps a reply. */
+  @Test
+  public void aPushThatOverlapsAReplyBringsTheRest() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<NodeHeartbeat> sent = new ArrayList<>();
+    NodeAgent agent = started(clock, sent);
+    reply(agent, last(sent), delta(0, 2));
+    agent.receive("c1:1", new ImagePush(delta(1, 3)));
+    assertEquals(agent.image().version(), 4);
+    assertEquals(agent.image().nodes().size(), 4);
+    agent.receive("c1:1", new ImagePush(delta(1, 2)));
+    assertEquals(agent.image().version(), 4, "an older push changes nothing");
+  }
 }
