A node that is not confirmed does not say that a database does not exist (CONFIG, an added route is not served)

Callers saw: NODB, which ends their attempt, for a database that was added and confirmed, from a node that was cut off, or that had started after a loss of all processes and had a stored image, which lacks the newest change. Cause: the lookup in the document in force was taken for the truth whatever its age.

--- a/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionExecutor.java
@@ -212,6 +212,10 @@
       }
     }
     Optional<RouteRule> route = route();
+    if (route.isEmpty() && !node.isConfirmed()) {
+      refuseStatement(AnswerCode.BUSY, SessionStart.ROUTES_NOT_CONFIRMED);
+      return;
+    }
     if (route.isEmpty()) {
       answerError(AnswerCode.UNKNOWN_DATABASE, "the database " + database + " no longer exists");
       return;
--- a/server/src/main/java/org/streamcourse/connection/session/SessionNode.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionNode.java
@@ -50,6 +50,13 @@
    */
   boolean isServing();
 
+  /**
+   * Returns whether the controllers have confirmed the image recently.
+   *
+   * @return false when a database that the document lacks may have been added since
+   */
+  boolean isConfirmed();
+
   /**
    * Returns whether the document in force is recent enough to check callers' keys.
    *
--- a/server/src/main/java/org/streamcourse/connection/session/SessionStart.java
+++ b/server/src/main/java/org/streamcourse/connection/session/SessionStart.java
@@ -37,6 +37,10 @@
   static final String KEYS_NOT_CONFIRMED =
       "this node cannot confirm the keys in force; retry-after-ms=500";
 
+  /** A database that the document lacks may have been added since the last confirmation. */
+  static final String ROUTES_NOT_CONFIRMED =
+      "this node cannot confirm the routes in force; retry-after-ms=500";
+
   /** Maximum wait for the node's first configuration; callers time out somewhat later. */
   private static final long MAX_WAIT_MILLIS = 1_500;
 
@@ -67,8 +71,12 @@
   private void check(ClientMessage.Start message) {
     RoutingDocument document = node.image().document();
     Optional<RouteRule> route = document.route(message.database());
-    if (route.isEmpty()) {
-      listener.refused(AnswerCode.UNKNOWN_DATABASE, "unknown database " + message.database());
+    if (route.isEmpty() && !node.isConfirmed()) {
+      listener.refused(AnswerCode.BUSY, ROUTES_NOT_CONFIRMED);
+    } else if (route.isEmpty()) {
+      String version = " in document version " + document.version();
+      listener.refused(
+          AnswerCode.UNKNOWN_DATABASE, "unknown database " + message.database() + version);
     } else if (!mayCheckKeys(node, route.get())) {
       listener.refused(AnswerCode.BUSY, KEYS_NOT_CONFIRMED);
     } else if (document.callerOf(route.get(), message.key()).isEmpty()) {
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -47,7 +47,8 @@
  * <p>The node serves once the controllers have confirmed an image with a routing document, or once
  * a controller that has just started, or another proxy, has sent its stored image. It continues to
  * serve while it is cut off from the controllers, since log positions for read floors come from the
- * members' own answers, and a replaced primary refuses writes.
+ * members' own answers, and a replaced primary refuses writes; but it does not report a database as
+ * unknown, since it may have missed that it was added.
  *
  * <p>All methods except the getters run on the node's worker.
  */
@@ -338,6 +339,11 @@
     return mayServe && image().document().isPresent();
   }
 
+  @Override
+  public boolean isConfirmed() {
+    return agent.isConfirmed();
+  }
+
   @Override
   public boolean hasConfirmedKeys() {
     return keyTrustMillis == UNLIMITED || agent.wasConfirmedWithin(keyTrustMillis);
--- a/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
+++ b/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
@@ -51,6 +51,9 @@
   private static final KeyDigest KEY = KeyDigest.of(new byte[] {1});
   private static final String CONTROLLER = "10.0.0.1:1";
 
+  /** Node from which the images come; no controller is reachable. */
+  private static final String IMAGE_SOURCE = "10.0.0.9:1";
+
   /** Longer than a stop. */
   private static final SessionLimits LIMITS = new SessionLimits(30_000);
 
@@ -147,7 +150,7 @@
 
   private void apply(ClusterChange change) {
     image = image.apply(change);
-    node.receive(CONTROLLER, new StoredImage(image));
+    node.receive(IMAGE_SOURCE, new StoredImage(image));
   }
 
   // ---- running ----
--- a/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
+++ b/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
@@ -6,6 +6,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.streamcourse.connection.peer.PeerNetwork;
@@ -20,8 +21,11 @@
 import org.streamcourse.request.statement.Statement;
 import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.request.statement.StatementRequest;
+import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
+import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
 import org.streamcourse.version.control.ControlMessage.StoredImage;
 import org.streamcourse.version.image.ClusterChange;
+import org.streamcourse.version.image.ClusterDelta;
 import org.streamcourse.version.image.ClusterImage;
 import org.streamcourse.version.image.KeyDigest;
 import org.streamcourse.version.image.NodeImage;
@@ -68,6 +72,7 @@
     }
   }
 
+  private static final String CONTROLLER = "10.0.0.1:1";
   private static final String SELF = "10.0.0.2:1";
   private static final String OTHER = "10.0.0.3:1";
 
@@ -81,7 +86,7 @@
         worker,
         network,
         StreamTypes.codec(),
-        List.of("10.0.0.1:1"),
+        List.of(CONTROLLER),
         image(SELF),
         (host, port, listener) -> {},
         new RequestLog(new LineBudget(1, worker::now), 0),
@@ -111,7 +116,7 @@
         ClusterImage.EMPTY
             .apply(new ClusterChange.NodeAdmitted(image(SELF)))
             .apply(new ClusterChange.NodeAdmitted(image(OTHER)));
-    node.receive("10.0.0.1:1", new StoredImage(stored));
+    node.receive(CONTROLLER, new StoredImage(stored));
     clock.advanceTimeBy(Duration.ofMillis(2_000));
     assertEquals(probes.get(), 0, "probes of a node that has just started");
     clock.advanceTimeBy(Duration.ofMillis(2_000));
@@ -151,7 +156,7 @@
     VirtualTimeScheduler clock = VirtualTimeScheduler.create();
     StatementProxyNode node = node(clock, (peer, message) -> {});
     ClusterImage first = ClusterImage.EMPTY.apply(document(1, "former"));
-    node.receive("10.0.0.1:1", new StoredImage(first));
+    node.receive(OTHER, new StoredImage(first));
     clock.advanceTimeBy(Duration.ofMillis(10));
     Caller stranger = new Caller();
     begin(node, stranger, "nobody's");
@@ -163,7 +168,7 @@
     session.receive(read("r1"));
     clock.advanceTimeBy(Duration.ofMillis(400));
     assertEquals(caller.last, AnswerCode.BUSY, "the key is accepted, but there is no member");
-    node.receive("10.0.0.1:1", new StoredImage(first.apply(document(2, "next"))));
+    node.receive(OTHER, new StoredImage(first.apply(document(2, "next"))));
     clock.advanceTimeBy(Duration.ofMillis(10));
     session.receive(read("r2"));
     assertEquals(
@@ -178,13 +183,42 @@
     VirtualTimeScheduler clock = VirtualTimeScheduler.create();
     StatementProxyNode node = node(clock, (peer, message) -> {});
     node.setKeyTrustMillis(4_000);
-    node.receive("10.0.0.1:1", new StoredImage(ClusterImage.EMPTY.apply(document(1, "k"))));
+    node.receive(OTHER, new StoredImage(ClusterImage.EMPTY.apply(document(1, "k"))));
     clock.advanceTimeBy(Duration.ofMillis(10));
     Caller caller = new Caller();
     begin(node, caller, "k");
     assertEquals(caller.last, AnswerCode.BUSY, "no leader has confirmed the document");
   }
 
+  /** Guards against a caller who is told that an added database does not exist. */
+  @Test
+  public void anUnconfirmedNodeDoesNotReportADatabaseAsUnknown() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<NodeHeartbeat> heartbeats = new ArrayList<>();
+    StatementProxyNode node = node(clock, recordHeartbeats(heartbeats));
+    node.start();
+    node.receive(OTHER, new StoredImage(ClusterImage.EMPTY.apply(document(1, "k"))));
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    Caller early = new Caller();
+    node.open(early).receive(new ClientMessage.Start("added", key("k")));
+    assertEquals(early.last, AnswerCode.BUSY);
+    long sequence = heartbeats.get(heartbeats.size() - 1).sequence();
+    node.receive(
+        CONTROLLER, new HeartbeatReply(sequence, new ClusterDelta(1, List.of()), null, false));
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    Caller later = new Caller();
+    node.open(later).receive(new ClientMessage.Start("added", key("k")));
+    assertEquals(later.last, AnswerCode.UNKNOWN_DATABASE);
+  }
+
+  private static PeerNetwork recordHeartbeats(List<NodeHeartbeat> heartbeats) {
+    return (peer, message) -> {
+      if (message instanceof NodeHeartbeat heartbeat) {
+        heartbeats.add(heartbeat);
+      }
+    };
+  }
+
   @Test
   public void sessionsOpenedDuringAStopEndAtOnce() {
     StatementProxyNode node = node();
