--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -44,9 +44,10 @@
  * A proxy for services whose members register themselves, without its sockets. Used by the process,
  * tests and the simulator.
  *
- * <p>The node serves once the controllers have confirmed an image with a routing document, or once
- * a controller that has just started, or another proxy, has sent its stored image. It continues to
- * serve while it is cut off from the controllers, since log positions for read floors come from the
+ * <p>The node serves once the controllers have confirmed an image with a routing document. While no
+ * controller is reachable, or none of them is elected, it serves with the image that a restarted
+ * controller or another proxy had stored, which may lack the newest changes. It continues to serve
+ * while it is cut off from the controllers, since log positions for read floors come from the
  * members' own answers, and a replaced primary refuses writes; but it does not report a database as
  * unknown, since it may have missed that it was added.
  *
@@ -74,7 +75,7 @@
   private final TenantQuotas ownQuotas;
   private final QuotaClient quotas;
   private final Set<ClientSession> sessions = new LinkedHashSet<>();
-  private volatile boolean mayServe;
+  private volatile boolean hasServed;
   private volatile boolean stopping;
   private boolean draining;
   private long sessionNumbers;
@@ -134,9 +135,7 @@
     table.onHealthChange(this::reportAllMembers);
     table.setObservationListener(relayServer::sendObservation);
     agent.onImage(table::update);
-    agent.onConfirmed(() -> mayServe = true);
     agent.onConfirmed(quotas::confirmed);
-    agent.setStoredImageListener(() -> mayServe = true);
     agent.setSessionCount(sessions::size);
     agent.setHeartbeatPreparation(this::reportAllMembers);
   }
@@ -336,7 +335,9 @@
 
   @Override
   public boolean isServing() {
-    return mayServe && image().document().isPresent();
+    // Once a node serves it goes on, also when a controller becomes reachable again.
+    hasServed = hasServed || agent.mayServe();
+    return hasServed && image().document().isPresent();
   }
 
   @Override
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -54,10 +54,10 @@
   private final MemberReports reports = new MemberReports();
   private final TreeMap<Long, Long> sentAt = new TreeMap<>();
   private final NodeConfirmation confirmation;
+  private final ElectionWait electionWait;
   private final ImageRequests imageRequests;
   private volatile ClusterImage image;
   private volatile boolean leaving;
-  private Runnable storedImageListener = () -> {};
   private IntSupplier sessions = () -> 0;
   private Runnable heartbeatPreparation = () -> {};
   private long heldVersion;
@@ -95,6 +95,7 @@
     this.controllers = List.copyOf(controllers);
     this.self = self;
     this.confirmation = new NodeConfirmation(worker, settings);
+    this.electionWait = new ElectionWait(worker);
     this.imageRequests = new ImageRequests(worker, network, () -> image.version() > 0);
     this.store = new ImageStore(disk, codec);
     this.image = store.load();
@@ -201,6 +202,16 @@
     return confirmation.isCutOff();
   }
 
+  /**
+   * Returns whether the node may serve with its image: it was confirmed since the start, or no
+   * confirmation can be expected soon, since no controller is reachable or none was elected.
+   *
+   * @return false while a newer image may be expected; safe from any thread
+   */
+  public boolean mayServe() {
+    return confirmation.hasAny() || (image.document().isPresent() && electionWait.isOver());
+  }
+
   /**
    * Returns whether the node's allowances certainly belong to it: the controllers assign them to
    * other nodes only some time after this has become false.
@@ -220,15 +231,6 @@
     confirmationListeners.add(listener);
   }
 
-  /**
-   * Sets the listener for stored images, which no leader has confirmed.
-   *
-   * @param listener runs on the agent's worker when such an image is in force
-   */
-  public void setStoredImageListener(Runnable listener) {
-    storedImageListener = listener;
-  }
-
   /**
    * Returns whether the node is draining.
    *
@@ -385,6 +387,9 @@
 
   /** Installs a stored image before the first confirmation, whose image is at least as new. */
   private void onStoredImage(String source, ClusterImage stored) {
+    if (controllers.contains(source)) {
+      electionWait.controllerResponded();
+    }
     if (confirmation.hasAny() || stored.version() <= image.version()) {
       return;
     }
@@ -396,10 +401,10 @@
         confirmation.millisSinceStart());
     store.save(stored);
     install(stored, "stored image");
-    storedImageListener.run();
   }
 
   private void onHint(LeaderHint hint) {
+    electionWait.controllerResponded();
     if (!hint.leader().isEmpty() && !controllers.contains(hint.leader())) {
       List<String> known = new ArrayList<>(controllers);
       known.add(hint.leader());
--- a/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
+++ b/server/src/test/java/org/streamcourse/process/StatementProxyNodeTest.java
@@ -22,6 +22,7 @@
 import org.streamcourse.request.statement.StatementId;
 import org.streamcourse.request.statement.StatementRequest;
 import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
+import org.streamcourse.version.control.ControlMessage.LeaderHint;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
 import org.streamcourse.version.control.ControlMessage.StoredImage;
 import org.streamcourse.version.image.ClusterChange;
@@ -190,6 +191,47 @@
     assertEquals(caller.last, AnswerCode.BUSY, "no leader has confirmed the document");
   }
 
+  /**
+   * Guards against an acknowledged change that a restarted node does not follow: an image stored by
+   * a controller lacks the newest change until a leader is elected.
+   */
+  @Test
+  public void aNodeThatReachesControllersWaitsForTheirLeader() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<NodeHeartbeat> heartbeats = new ArrayList<>();
+    StatementProxyNode node = node(clock, recordHeartbeats(heartbeats));
+    node.start();
+    clock.advanceTimeBy(Duration.ofMillis(100));
+    ClusterImage stored = ClusterImage.EMPTY.apply(document(1, "k"));
+    node.receive(CONTROLLER, new StoredImage(stored));
+    clock.advanceTimeBy(Duration.ofMillis(600));
+    assertFalse(node.isReady(), "a leader may have a newer document");
+    ClusterImage newer = stored.apply(document(2, "k"));
+    long sequence = heartbeats.get(heartbeats.size() - 1).sequence();
+    node.receive(CONTROLLER, new HeartbeatReply(sequence, null, newer, false));
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    assertTrue(node.isReady());
+    assertEquals(node.image().document().version(), 2);
+  }
+
+  /** Controllers without a majority can elect no leader, and callers need not wait for them. */
+  @Test
+  public void aNodeServesWithAStoredImageWhenNoLeaderIsElected() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    StatementProxyNode node = node(clock, (peer, message) -> {});
+    node.receive(CONTROLLER, new StoredImage(ClusterImage.EMPTY.apply(document(1, "k"))));
+    for (int i = 0; i < 3; i++) {
+      clock.advanceTimeBy(Duration.ofMillis(500));
+      assertFalse(node.isReady());
+      node.receive(CONTROLLER, new LeaderHint(""));
+    }
+    clock.advanceTimeBy(Duration.ofMillis(500));
+    assertTrue(node.isReady());
+    node.receive(CONTROLLER, new LeaderHint(""));
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    assertTrue(node.isReady(), "it goes on serving");
+  }
+
   /** Guards against a caller who is told that an added database does not exist. */
   @Test
   public void anUnconfirmedNodeDoesNotReportADatabaseAsUnknown() {
