A failed append leaves no bytes in the file (CONFIG, a controller's log)

Callers would see: a controller that never starts again after its disk was full once, and changes that were reported as not stored and come back after a restart.

Cause: FolderDisk appended behind whatever a failed write or sync had left in the file, while the log in memory did not have these entries.

AppendFile knows the length up to which appends have succeeded and cuts the file back to it; until that has succeeded, each append tries it again first and fails with it. A replacement or deletion that fails keeps the open file, and with it the cut that is due.

--- a/server/src/main/java/org/streamcourse/process/Disk.java
+++ b/server/src/main/java/org/streamcourse/process/Disk.java
@@ -32,7 +32,8 @@
   byte[] read(String name);
 
   /**
-   * Appends to a file and syncs it; on return the bytes are durable.
+   * Appends to a file and syncs it; on return the bytes are durable. If that fails, no append to
+   * the file succeeds before the bytes are removed from it.
    *
    * @param name file name; created when missing
    * @param bytes bytes to append
--- a/server/src/main/java/org/streamcourse/process/FolderDisk.java
+++ b/server/src/main/java/org/streamcourse/process/FolderDisk.java
@@ -1,9 +1,9 @@
 package org.streamcourse.process;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -16,8 +16,15 @@
 public final class FolderDisk implements Disk, AutoCloseable {
   private static final String TEMPORARY_SUFFIX = ".tmp";
 
+  /** Opens a file. */
+  @FunctionalInterface
+  interface ChannelOpener {
+    FileChannel open(Path file, OpenOption... options) throws IOException;
+  }
+
   private final Path folder;
-  private final Map<String, FileChannel> appending = new HashMap<>();
+  private final ChannelOpener opener;
+  private final Map<String, AppendFile> appending = new HashMap<>();
 
   /**
    * Opens a folder, creating it when missing.
@@ -25,7 +32,12 @@
    * @param folder path of the data folder
    */
   public FolderDisk(Path folder) {
+    this(folder, FileChannel::open);
+  }
+
+  FolderDisk(Path folder, ChannelOpener opener) {
     this.folder = folder;
+    this.opener = opener;
     try {
       Files.createDirectories(folder);
     } catch (IOException e) {
@@ -60,16 +72,16 @@
   @Override
   public synchronized void appendAndSync(String name, byte[] bytes) {
     try {
-      FileChannel channel = appending.get(name);
-      if (channel == null) {
-        channel =
-            FileChannel.open(
-                folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-        appending.put(name, channel);
+      AppendFile file = appending.get(name);
+      if (file == null) {
+        file =
+            new AppendFile(
+                opener.open(
+                    folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+        appending.put(name, file);
         syncFolder();
       }
-      writeFully(channel, bytes);
-      channel.force(false);
+      file.appendAndSync(bytes);
     } catch (IOException e) {
       throw failure("append", name, e);
     }
@@ -79,17 +91,17 @@
   public synchronized void replace(String name, byte[] bytes) {
     Path temporary = folder.resolve(name + TEMPORARY_SUFFIX);
     try {
-      closeChannel(name);
       try (FileChannel channel =
-          FileChannel.open(
+          opener.open(
               temporary,
               StandardOpenOption.CREATE,
               StandardOpenOption.WRITE,
               StandardOpenOption.TRUNCATE_EXISTING)) {
-        writeFully(channel, bytes);
+        AppendFile.writeFully(channel, bytes);
         channel.force(true);
       }
       Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+      closeFile(name);
       syncFolder();
     } catch (IOException e) {
       throw failure("replace", name, e);
@@ -99,8 +111,8 @@
   @Override
   public synchronized void delete(String name) {
     try {
-      closeChannel(name);
       Files.deleteIfExists(folder.resolve(name));
+      closeFile(name);
       syncFolder();
     } catch (IOException e) {
       throw failure("delete", name, e);
@@ -111,29 +123,22 @@
   public synchronized void close() {
     for (String name : List.copyOf(appending.keySet())) {
       try {
-        closeChannel(name);
+        closeFile(name);
       } catch (IOException e) {
         throw failure("close", name, e);
       }
     }
   }
 
-  private void closeChannel(String name) throws IOException {
-    FileChannel channel = appending.remove(name);
-    if (channel != null) {
-      channel.close();
-    }
-  }
-
-  private static void writeFully(FileChannel channel, byte[] bytes) throws IOException {
-    ByteBuffer buffer = ByteBuffer.wrap(bytes);
-    while (buffer.hasRemaining()) {
-      channel.write(buffer);
+  private void closeFile(String name) throws IOException {
+    AppendFile file = appending.remove(name);
+    if (file != null) {
+      file.close();
     }
   }
 
   private void syncFolder() throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+    try (FileChannel channel = opener.open(folder, StandardOpenOption.READ)) {
       channel.force(true);
     }
   }
