A truncation that crashes or fails leaves a log that opens

Cause: segments were deleted in ascending order, so a crash between two deletions left a gap. A deletion that failed was forgotten as well: the segment stayed on the disk while the log in memory went on, with entries that the files lacked or behind ones that it had dropped.

The last segment is deleted first, so the entries are contiguous after each write. Entries in memory are dropped before the files, as after a crash, and nothing is appended before a failed truncation is completed. The segments' files are a class of their own, LogSegments; RecordLog keeps what is in them.

--- a/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
@@ -3,8 +3,6 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.NavigableMap;
-import java.util.TreeMap;
 import org.streamcourse.process.Disk;
 import org.streamcourse.process.ErrorCode;
 import org.streamcourse.process.Frames;
@@ -27,14 +25,11 @@
 public final class RecordLog {
   private static final String QUORUM_FILE = "quorum-state";
   private static final String SNAPSHOT_FILE = "snapshot";
-  private static final String SEGMENT_PREFIX = "segment-";
-  private static final int ENTRIES_PER_SEGMENT = 512;
 
   private final Disk disk;
   private final MessageCodec codec;
-  private final int segmentBytes;
   private final LogEntries entries = new LogEntries();
-  private final NavigableMap<Long, String> segments = new TreeMap<>();
+  private final LogSegments segments;
   private QuorumState quorumState;
   private Snapshot snapshot;
 
@@ -49,13 +44,10 @@
   private long knownCommitIndex;
   private long storedCommitIndex;
 
-  /** Length of the segment to which entries are appended. */
-  private long lastSegmentBytes;
-
   private RecordLog(Disk disk, MessageCodec codec, int segmentBytes) {
     this.disk = disk;
     this.codec = codec;
-    this.segmentBytes = segmentBytes;
+    this.segments = new LogSegments(disk, segmentBytes, this::contentFrom);
   }
 
   /**
@@ -229,10 +221,7 @@
     if (added.isEmpty()) {
       return;
     }
-    String segment = segmentForAppend(added.get(0).index());
-    byte[] frame = encodeFrame(added);
-    disk.appendAndSync(segment, frame);
-    lastSegmentBytes += frame.length;
+    segments.append(added.get(0).index(), encodeFrame(added));
     for (LogEntry entry : added) {
       entries.put(entry);
       if (entry.kind() == LogEntry.Kind.VOTERS) {
@@ -348,14 +337,8 @@
    */
   public void truncateFrom(long fromIndex) {
     newestVoters = null;
-    for (long first : List.copyOf(segments.tailMap(fromIndex, true).keySet())) {
-      disk.delete(segments.remove(first));
-    }
     entries.dropFrom(fromIndex);
-    lastSegmentBytes = 0;
-    if (!segments.isEmpty()) {
-      rewriteSegment(segments.lastKey());
-    }
+    segments.truncateFrom(fromIndex);
   }
 
   /**
@@ -373,44 +356,19 @@
       return;
     }
     entries.dropUntil(taken.lastIndex());
-    while (segments.size() > 1
-        && segments.higherKey(segments.firstKey()) <= taken.lastIndex() + 1) {
-      disk.delete(segments.pollFirstEntry().getValue());
-    }
+    segments.deleteUntil(taken.lastIndex());
   }
 
-  private String segmentForAppend(long index) {
-    if (segments.isEmpty()
-        || index - segments.lastKey() >= ENTRIES_PER_SEGMENT
-        || lastSegmentBytes >= segmentBytes) {
-      segments.put(index, segmentName(index));
-      lastSegmentBytes = 0;
-    }
-    return segments.lastEntry().getValue();
-  }
-
-  private void rewriteSegment(long firstIndex) {
+  /** Returns the content of a segment that holds all entries from an index on. */
+  private byte[] contentFrom(long firstIndex) {
     List<LogEntry> kept = new ArrayList<>(entries.from(firstIndex));
-    byte[] content = kept.isEmpty() ? new byte[0] : encodeFrame(kept);
-    disk.replace(segments.get(firstIndex), content);
-    lastSegmentBytes = content.length;
-  }
-
-  private static String segmentName(long firstIndex) {
-    return String.format("%s%016d", SEGMENT_PREFIX, firstIndex);
+    return kept.isEmpty() ? new byte[0] : encodeFrame(kept);
   }
 
   private void load() {
     quorumState = (QuorumState) readSingle(QUORUM_FILE);
     snapshot = (Snapshot) readSingle(SNAPSHOT_FILE);
-    for (String name : disk.list()) {
-      if (name.startsWith(SEGMENT_PREFIX)) {
-        segments.put(Long.parseLong(name.substring(SEGMENT_PREFIX.length())), name);
-      }
-    }
-    for (long first : List.copyOf(segments.keySet())) {
-      loadSegment(segments.get(first), first == segments.lastKey());
-    }
+    segments.load(this::loadFrame);
     if (replacedBySnapshot) {
       // The process crashed between storing a leader's snapshot and dropping the replaced log.
       truncateFrom(0);
@@ -430,22 +388,12 @@
     return codec.decode(payload);
   }
 
-  private void loadSegment(String name, boolean last) {
-    ByteBuffer buffer = ByteBuffer.wrap(disk.read(name));
-    lastSegmentBytes = buffer.remaining();
-    while (buffer.hasRemaining()) {
-      int start = buffer.position();
-      byte[] payload = Frames.read(buffer);
-      if (payload == null) {
-        truncateTornFrame(name, buffer.array(), start, last);
-        return;
-      }
-      for (Object item : (List<?>) codec.decode(payload)) {
-        if (item instanceof LogEntry entry) {
-          loadEntry(entry);
-        } else {
-          storedCommitIndex = Math.max(storedCommitIndex, (Long) item);
-        }
+  private void loadFrame(byte[] payload) {
+    for (Object item : (List<?>) codec.decode(payload)) {
+      if (item instanceof LogEntry entry) {
+        loadEntry(entry);
+      } else {
+        storedCommitIndex = Math.max(storedCommitIndex, (Long) item);
       }
     }
   }
@@ -458,33 +406,11 @@
     }
   }
 
-  private void truncateTornFrame(String name, byte[] content, int start, boolean last) {
-    if (!last || frameFollows(content, start)) {
-      throw corrupt(name, "damaged frame at byte " + start + " before the tail of the log");
-    }
-    byte[] kept = new byte[start];
-    System.arraycopy(content, 0, kept, 0, start);
-    disk.replace(name, kept);
-    lastSegmentBytes = start;
-  }
-
-  /** Returns whether an intact frame follows a damaged one, which rules out a torn write. */
-  private static boolean frameFollows(byte[] content, int damagedAt) {
-    for (int position = damagedAt + 1;
-        position + Frames.HEADER_BYTES < content.length;
-        position++) {
-      if (Frames.read(ByteBuffer.wrap(content).position(position)) != null) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private void checkContinuity() {
     long expected = snapshotIndex() + 1;
     for (LogEntry entry : entries.all()) {
       if (entry.index() != expected) {
-        throw corrupt(SEGMENT_PREFIX, "entry " + expected + " is missing");
+        throw corrupt("segments", "entry " + expected + " is missing");
       }
       expected++;
     }
