A leader that cannot store an entry steps down

Callers would see: no change is taken any more although two of three controllers have working disks; with one of three down, none until the leader is restarted.

Cause: a new leader stopped its election timer and appended its first entry before it started its heartbeats. When that append failed, it stayed leader, sent nothing, never resigned, and refused votes as an active leader. A leader whose later appends failed went on sending heartbeats and kept the others from an election.

A leader whose append fails becomes a follower and waits for two election timeouts or more before it stands again, so that another controller, whose timeout is shorter, is elected first; alone, it is elected again. Heartbeats start before the first append. The check of a vote moved to RecordLog, which has the state that it reads; it is unchanged.

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -28,7 +28,7 @@
  *   <li>Voters change one at a time, never while an earlier change is uncommitted.
  *   <li>A pre-vote precedes each election, so that a controller returning from a network partition
  *       does not disrupt a working leader. A leader without responses from a majority of the voters
- *       for an election timeout steps down.
+ *       for an election timeout steps down, and so does one that cannot store an entry.
  * </ul>
  *
  * All methods run on the controller's worker.
@@ -274,8 +274,7 @@
     if (!request.preVote() && request.term() > term()) {
       becomeFollower(request.term(), null);
     }
-    boolean granted =
-        log.isNoLaterThan(request.lastTerm(), request.lastIndex()) && mayVoteFor(request);
+    boolean granted = log.mayGrant(request);
     if (granted && !request.preVote()) {
       log.saveQuorumState(new QuorumState(identity(), term(), request.from()));
       electionTimer.restart();
@@ -285,13 +284,6 @@
         new VoteResponse(identity(), term(), request.term(), granted, request.preVote()));
   }
 
-  private boolean mayVoteFor(VoteRequest request) {
-    if (request.preVote()) {
-      return request.term() > term();
-    }
-    return log.quorumState().mayVote(request.term(), request.from());
-  }
-
   private boolean hasActiveLeader() {
     return role instanceof LeaderState
         || worker.now() - lastLeaderContact < settings.electionTimeoutMillis();
@@ -324,8 +316,8 @@
     LeaderState leader = new LeaderState(log.lastIndex() + 1);
     role = leader;
     leader.track(latestVoters().all(), identity(), worker.now());
-    appendAsLeader(LogEntry.Kind.NO_OP, List.of(new byte[0]));
     heartbeatTimer = worker.repeat(settings.heartbeatMillis(), this::onHeartbeat);
+    appendAsLeader(LogEntry.Kind.NO_OP, List.of(new byte[0]));
   }
 
   private void becomeFollower(long newTerm, String leaderIdentity) {
@@ -372,7 +364,14 @@
 
   private void appendAsLeader(LogEntry.Kind kind, List<byte[]> payloads) {
     LeaderState leader = (LeaderState) role;
-    log.appendNew(term(), kind, payloads);
+    try {
+      log.appendNew(term(), kind, payloads);
+    } catch (StreamcourseException e) {
+      LOG.warn("resigned leadership: entries cannot be stored");
+      becomeFollower(term(), null);
+      electionTimer.startAfterOthers();
+      throw e;
+    }
     sendToAll(leader);
     advanceCommit(leader);
   }
--- a/server/src/main/java/org/streamcourse/version/agreement/ElectionTimer.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/ElectionTimer.java
@@ -47,6 +47,11 @@
     start(settings.electionTimeoutMillis());
   }
 
+  /** Restarts the timer with a timeout that is longer than that of any other controller. */
+  void startAfterOthers() {
+    start(2 * settings.electionTimeoutMillis());
+  }
+
   void leaderSeen() {
     leaderSeen = true;
   }
--- a/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/RecordLog.java
@@ -9,6 +9,7 @@
 import org.streamcourse.process.MemoryLimits;
 import org.streamcourse.process.MessageCodec;
 import org.streamcourse.process.StreamcourseException;
+import org.streamcourse.version.agreement.AgreementMessage.VoteRequest;
 
 /**
  * Persistent state of a controller: quorum state, snapshot and log segments.
@@ -148,15 +149,21 @@
   }
 
   /**
-   * Returns whether another log is at least as up to date as this one.
+   * Returns whether a vote may be granted: the candidate's log is at least as up to date as this
+   * one, and no other candidate has the vote of this term.
    *
-   * @param otherTerm term of the other log's last entry
-   * @param otherIndex index of the other log's last entry
-   * @return true when the other log's last term is higher, or equal and its last index not lower
+   * @param request candidate's request
+   * @return true if granting the vote is safe
    */
-  boolean isNoLaterThan(long otherTerm, long otherIndex) {
-    boolean sameTerm = otherTerm == lastTerm();
-    return otherTerm > lastTerm() || (sameTerm && otherIndex >= lastIndex());
+  boolean mayGrant(VoteRequest request) {
+    boolean upToDate =
+        request.lastTerm() > lastTerm()
+            || (request.lastTerm() == lastTerm() && request.lastIndex() >= lastIndex());
+    boolean free =
+        request.preVote()
+            ? request.term() > quorumState.term()
+            : quorumState.mayVote(request.term(), request.from());
+    return upToDate && free;
   }
 
   /**
--- a/server/src/test/java/org/streamcourse/process/FaultyDisk.java
+++ b/server/src/test/java/org/streamcourse/process/FaultyDisk.java
@@ -20,6 +20,7 @@
   private long failsFrom = Long.MAX_VALUE;
   private long failsUntil = Long.MAX_VALUE;
   private long writes;
+  private boolean nextAppendFails;
 
   /**
    * Wraps the files.
@@ -53,6 +54,16 @@
     failsUntil = Long.MAX_VALUE;
   }
 
+  /**
+   * Makes the next append fail.
+   *
+   * @param left what it leaves
+   */
+  public void failNextAppend(Fault left) {
+    nextAppendFails = true;
+    fault = left;
+  }
+
   /** Lets all writes succeed from now on. */
   public void repair() {
     failsFrom = Long.MAX_VALUE;
@@ -85,6 +96,10 @@
 
   @Override
   public void appendAndSync(String name, byte[] bytes) {
+    if (nextAppendFails) {
+      nextAppendFails = false;
+      failOnceAfter(0, fault);
+    }
     byte[] half = Arrays.copyOf(bytes, bytes.length / 2);
     write(() -> files.appendAndSync(name, bytes), () -> files.appendAndSync(name, half));
   }
