A controller that could not store its vote stands again

Callers would see: no leader, hence no change taken, after the disk of a controller without others refused one write at the wrong moment.

Cause: the election timer was restarted after the campaign, and a campaign that could not store the vote for itself ended before that.

Evidence, on the code before: aLeaderIsElectedOnceVotesCanBeStored with one voter "leaders expected [1] but found [0]" 10 s after the repair. With three voters it passed before, since the vote is stored when the second response arrives, with the timer running.

The timer is restarted before the campaign; a leader stops it as before.

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -244,10 +244,10 @@
     if (stopped || role instanceof LeaderState) {
       return;
     }
+    electionTimer.startRetry();
     if (latestVoters().voters().contains(identity())) {
       campaign(true);
     }
-    electionTimer.startRetry();
   }
 
   private void campaign(boolean preVote) {
--- a/server/src/test/java/org/streamcourse/version/agreement/FailedWritesTest.java
+++ b/server/src/test/java/org/streamcourse/version/agreement/FailedWritesTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotSame;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
@@ -120,4 +121,17 @@
     clock.advanceTimeBy(ELECTION);
     assertCommits(leader());
   }
+
+  /** Guards against a controller that never stands again after it could not store a vote. */
+  @Test(dataProvider = "voters")
+  public void aLeaderIsElectedOnceVotesCanBeStored(int voters, int running) {
+    create(voters, running);
+    disks.values().forEach(disk -> disk.failFromOn(0, Fault.NOTHING_WRITTEN));
+    nodes.values().forEach(AgreementNode::start);
+    clock.advanceTimeBy(ELECTION);
+    assertTrue(nodes.values().stream().noneMatch(AgreementNode::isLeader), "no vote is stored");
+    disks.values().forEach(FaultyDisk::repair);
+    clock.advanceTimeBy(ELECTION);
+    assertCommits(leader());
+  }
 }
