A leader that cannot store a higher term resigns

Callers would see: changes that time out at a controller that takes itself for the leader, and with one of three controllers down no election.

Cause: on a message of a higher term the leader stopped its heartbeats and then stored the term; when that failed, it was still the leader, without heartbeats, and never resigned.

Evidence, on the code before: aLeaderThatCannotStoreAHigherTermResigns "still leads expected [false] but found [true]".

The role changes first and the term is stored last. Until it is stored, the controller is a follower in its own term, whose vote it has given to itself, and drops the message.

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -323,17 +323,17 @@
   private void becomeFollower(long newTerm, String leaderIdentity) {
     boolean wasLeader = role instanceof LeaderState leader && leader.isAnnounced();
     heartbeatTimer.dispose();
-    if (newTerm > term()) {
-      log.saveQuorumState(new QuorumState(identity(), newTerm, ""));
-    }
     FollowerState follower = new FollowerState();
     follower.setLeader(leaderIdentity);
     role = follower;
     electionTimer.restart();
     if (wasLeader) {
-      LOG.info("lost leadership: is now a follower in term {}", term());
+      LOG.info("lost leadership: is now a follower in term {}", newTerm);
       stateMachine.leadershipEnded();
     }
+    if (newTerm > term()) {
+      log.saveQuorumState(new QuorumState(identity(), newTerm, ""));
+    }
   }
 
   // ---- leader ----
--- a/server/src/test/java/org/streamcourse/version/agreement/FailedWritesTest.java
+++ b/server/src/test/java/org/streamcourse/version/agreement/FailedWritesTest.java
@@ -1,8 +1,10 @@
 package org.streamcourse.version.agreement;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotSame;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.time.Duration;
 import java.util.List;
@@ -15,6 +17,7 @@
 import org.streamcourse.process.MemoryDisk;
 import org.streamcourse.process.SchedulerWorker;
 import org.streamcourse.process.StreamcourseException;
+import org.streamcourse.version.agreement.AgreementMessage.AppendResponse;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -134,4 +137,19 @@
     clock.advanceTimeBy(ELECTION);
     assertCommits(leader());
   }
+
+  /** Guards against a leader without heartbeats that has seen a higher term. */
+  @Test
+  public void aLeaderThatCannotStoreAHigherTermResigns() {
+    startAndElect();
+    AgreementNode former = leader();
+    FaultyDisk disk = disks.get(former.identity());
+    disk.failFromOn(0, Fault.NOTHING_WRITTEN);
+    AppendResponse later = new AppendResponse("b@1", former.term() + 1, false, 0, 0);
+    expectThrows(StreamcourseException.class, () -> former.receive(later));
+    assertFalse(former.isLeader(), "still leads");
+    disk.repair();
+    clock.advanceTimeBy(ELECTION);
+    assertCommits(leader());
+  }
 }
