A periodic task that fails is repeated

Callers would see: a leader without heartbeats that never resigns, or one that supervises nothing any more, after a single exception.

Cause: Worker.repeat scheduled the next run after the task, and not when the task threw. Heartbeats, supervision and all other periodic tasks ended for good; among the exceptions are those of a disk that refuses a write while the leader proposes voters at a heartbeat.

Evidence, on the code before: aTaskThatFailedIsRepeatedUntilItIsCancelled "expected [3] but found [1]".

The next run is scheduled however the task ends. A task that cancels its own repetition and then fails is not repeated: a cancelled repetition cancels what it is given.

--- a/server/src/main/java/org/streamcourse/process/Worker.java
+++ b/server/src/main/java/org/streamcourse/process/Worker.java
@@ -32,7 +32,8 @@
   Disposable schedule(long delayMillis, Runnable task);
 
   /**
-   * Runs a task periodically until cancelled; the delay starts when the previous run has ended.
+   * Runs a task periodically until cancelled; the delay starts when the previous run has ended or
+   * failed.
    *
    * @param periodMillis delay between runs in milliseconds
    * @param task task to run
@@ -46,8 +47,11 @@
           if (current.isDisposed()) {
             return;
           }
-          task.run();
-          current.replace(schedule(periodMillis, step[0]));
+          try {
+            task.run();
+          } finally {
+            current.replace(schedule(periodMillis, step[0]));
+          }
         };
     current.replace(schedule(periodMillis, step[0]));
     return current;
