A new file is appended to only once its folder is synced

Callers would see: acknowledged changes that are gone after a loss of power.

Cause: FolderDisk kept the file open before it synced the folder. When that sync failed, the next append took the file for an existing one and returned without the folder's sync, so that the file's name was not durable.

Evidence, on the code before: aNewFileIsNotAppendedToBeforeItsFolderIsSynced "lists don't have the same size expected [2] but found [1]": the file was synced and the folder was not.

The file is kept open only after the folder's sync has succeeded.

--- a/server/src/main/java/org/streamcourse/process/FolderDisk.java
+++ b/server/src/main/java/org/streamcourse/process/FolderDisk.java
@@ -74,12 +74,8 @@
     try {
       AppendFile file = appending.get(name);
       if (file == null) {
-        file =
-            new AppendFile(
-                opener.open(
-                    folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+        file = openForAppend(name);
         appending.put(name, file);
-        syncFolder();
       }
       file.appendAndSync(bytes);
     } catch (IOException e) {
@@ -130,6 +126,20 @@
     }
   }
 
+  private AppendFile openForAppend(String name) throws IOException {
+    AppendFile file =
+        new AppendFile(
+            opener.open(
+                folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.APPEND));
+    try {
+      syncFolder();
+    } catch (IOException e) {
+      file.close();
+      throw e;
+    }
+    return file;
+  }
+
   private void closeFile(String name) throws IOException {
     AppendFile file = appending.remove(name);
     if (file != null) {
--- a/server/src/test/java/org/streamcourse/process/FaultyChannel.java
+++ b/server/src/test/java/org/streamcourse/process/FaultyChannel.java
@@ -7,6 +7,9 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** A file whose writes, syncs and truncations fail when a test says so. */
 final class FaultyChannel extends FileChannel {
@@ -25,12 +28,17 @@
   static final class Faults {
     Fault next = Fault.NONE;
     boolean truncationFails;
+
+    /** Names of the files that were synced, in order. */
+    final List<String> synced = new ArrayList<>();
   }
 
+  private final String name;
   private final FileChannel file;
   private final Faults faults;
 
-  FaultyChannel(FileChannel file, Faults faults) {
+  FaultyChannel(Path name, FileChannel file, Faults faults) {
+    this.name = name.toString();
     this.file = file;
     this.faults = faults;
   }
@@ -59,6 +67,7 @@
       throw fail();
     }
     file.force(metaData);
+    faults.synced.add(name);
   }
 
   @Override
--- a/server/src/test/java/org/streamcourse/process/FolderDiskTest.java
+++ b/server/src/test/java/org/streamcourse/process/FolderDiskTest.java
@@ -32,9 +32,14 @@
   public void open() throws IOException {
     folder = Files.createTempDirectory("folder-disk");
     faults = new FaultyChannel.Faults();
-    disk =
-        new FolderDisk(
-            folder, (file, options) -> new FaultyChannel(FileChannel.open(file, options), faults));
+    disk = open(faults);
+  }
+
+  private FolderDisk open(FaultyChannel.Faults injected) {
+    return new FolderDisk(
+        folder,
+        (file, options) ->
+            new FaultyChannel(file.getFileName(), FileChannel.open(file, options), injected));
   }
 
   @AfterMethod(alwaysRun = true)
@@ -102,6 +107,17 @@
     assertEquals(content(), "first,second");
   }
 
+  /** Guards against acknowledged bytes in a new file that a loss of power removes. */
+  @Test
+  public void aNewFileIsNotAppendedToBeforeItsFolderIsSynced() {
+    faults.next = Fault.UNSYNCED;
+    failToAppend("failed,");
+    faults.synced.clear();
+    append("first");
+    assertEquals(faults.synced, List.of(folder.getFileName().toString(), FILE));
+    assertEquals(content(), "first");
+  }
+
   private RecordLog openLog() {
     return RecordLog.open(disk, StreamTypes.codec());
   }
