A log that is opened is synced before its entries count as stored

Callers would see: acknowledged changes that are gone after a loss of power that follows a kill of the controllers.

Cause: a process that is killed between a write and its sync leaves the bytes in the file, and a loss of power removes them. On its next start the controller read these entries, and acknowledged them to a leader without ever syncing them.

Evidence, on the code before: aLogThatIsOpenedIsSynced "[] expected [true] but found [false]": opening synced nothing. Read from the code besides; no run with a loss of power shows it.

Opening the log syncs the last segment, the only one that may end with unsynced bytes, and opening the folder syncs the folder.

--- a/server/src/main/java/org/streamcourse/process/Disk.java
+++ b/server/src/main/java/org/streamcourse/process/Disk.java
@@ -40,6 +40,16 @@
    */
   void appendAndSync(String name, byte[] bytes);
 
+  /**
+   * Syncs what a killed process may have written to a file without a sync; on return the content is
+   * durable.
+   *
+   * @param name file name
+   */
+  default void sync(String name) {
+    appendAndSync(name, new byte[0]);
+  }
+
   /**
    * Replaces a file as a whole; after a crash the file has either the old or the new content.
    *
--- a/server/src/main/java/org/streamcourse/process/FolderDisk.java
+++ b/server/src/main/java/org/streamcourse/process/FolderDisk.java
@@ -40,6 +40,8 @@
     this.opener = opener;
     try {
       Files.createDirectories(folder);
+      // A process that was killed may have renamed or removed files without syncing the folder.
+      syncFolder();
     } catch (IOException e) {
       throw failure("open", folder.toString(), e);
     }
--- a/server/src/main/java/org/streamcourse/version/agreement/LogSegments.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/LogSegments.java
@@ -55,7 +55,7 @@
   }
 
   /**
-   * Reads all segments and cuts off a torn frame at their end.
+   * Reads all segments, cuts off a torn frame at their end, and makes what is left durable.
    *
    * @param payloads receives the payload of each frame, in order
    */
@@ -68,6 +68,9 @@
     for (String name : names.values()) {
       load(name, payloads);
     }
+    if (!names.isEmpty()) {
+      disk.sync(names.lastEntry().getValue());
+    }
   }
 
   private void load(String name, Consumer<byte[]> payloads) {
--- a/server/src/test/java/org/streamcourse/process/FolderDiskTest.java
+++ b/server/src/test/java/org/streamcourse/process/FolderDiskTest.java
@@ -1,6 +1,7 @@
 package org.streamcourse.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
@@ -118,6 +119,23 @@
     assertEquals(content(), "first");
   }
 
+  /**
+   * Guards against entries that a killed process wrote without a sync: they count as stored once
+   * the log is opened, and a loss of power would remove them.
+   */
+  @Test
+  public void aLogThatIsOpenedIsSynced() {
+    RecordLog log = openLog();
+    log.bootstrap("a@1", List.of("a@1"), new byte[0]);
+    log.append(List.of(entry(2, "first")));
+    FaultyChannel.Faults restarted = new FaultyChannel.Faults();
+    try (FolderDisk after = open(restarted)) {
+      assertEquals(RecordLog.open(after, StreamTypes.codec()).lastIndex(), 2);
+    }
+    List<String> expected = List.of(folder.getFileName().toString(), "segment-0000000000000002");
+    assertTrue(restarted.synced.containsAll(expected), restarted.synced.toString());
+  }
+
   private RecordLog openLog() {
     return RecordLog.open(disk, StreamTypes.codec());
   }
