--- a/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AppliedState.java
@@ -1,5 +1,9 @@
 package org.streamcourse.version.agreement;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.streamcourse.process.StreamcourseException;
+
 /**
  * Commit index and applied index of the log; takes and installs snapshots.
  *
@@ -7,6 +11,8 @@
  * once and in order; a snapshot covers applied entries only.
  */
 final class AppliedState {
+  private static final Logger LOG = LoggerFactory.getLogger(AppliedState.class);
+
   private final RecordLog log;
   private final StateMachine stateMachine;
   private final long snapshotEvery;
@@ -75,10 +81,20 @@
       appliedBytes += entry.payload().length;
     }
     if (isSnapshotDue()) {
-      long lastTerm = log.termAt(appliedIndex);
-      VoterSet voters = log.votersAt(appliedIndex);
-      log.saveSnapshot(new Snapshot(appliedIndex, lastTerm, voters, stateMachine.snapshot()), true);
+      saveSnapshot();
+    }
+  }
+
+  /** Without a snapshot the log only keeps more entries, so a failure is made up for later. */
+  private void saveSnapshot() {
+    long lastTerm = log.termAt(appliedIndex);
+    VoterSet voters = log.votersAt(appliedIndex);
+    Snapshot taken = new Snapshot(appliedIndex, lastTerm, voters, stateMachine.snapshot());
+    try {
+      log.saveSnapshot(taken, true);
       appliedBytes = 0;
+    } catch (StreamcourseException e) {
+      LOG.warn("the snapshot at entry {} could not be stored", appliedIndex, e);
     }
   }
 
--- a/server/src/test/java/org/streamcourse/version/agreement/AppliedStateTest.java
+++ b/server/src/test/java/org/streamcourse/version/agreement/AppliedStateTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.streamcourse.process.FaultyDisk;
 import org.streamcourse.process.MemoryDisk;
 import org.streamcourse.process.MemoryLimits;
 import org.testng.annotations.BeforeMethod;
@@ -80,6 +81,27 @@
         List.of(first, first + 1, first + 2, first + 3, first + 4, first + 5));
   }
 
+  /**
+   * Guards against a controller that takes no part until it is restarted, since its disk is full.
+   */
+  @Test
+  public void entriesAreAppliedAlthoughTheSnapshotCannotBeStored() {
+    int count = AgreementSettings.DEFAULT.snapshotEvery();
+    append(count);
+    FaultyDisk faulty = new FaultyDisk(disk);
+    RecordLog opened = RecordLog.open(faulty, VoterSetCodec.codec(), LIMITS);
+    AppliedState restarted =
+        new AppliedState(opened, stateMachine, AgreementSettings.DEFAULT.withMemory(LIMITS));
+    restarted.restore();
+    faulty.failFromOn(0, FaultyDisk.Fault.NOTHING_WRITTEN);
+    restarted.commitTo(opened.lastIndex());
+    assertEquals(stateMachine.applied.size(), count);
+    long before = opened.snapshotIndex();
+    faulty.repair();
+    restarted.commitTo(opened.lastIndex());
+    assertTrue(opened.snapshotIndex() > before, "the snapshot is stored later");
+  }
+
   /** Guards against a log that is limited by its number of entries, however long they are. */
   @Test
   public void aSnapshotReplacesEntriesFromTheirLimitInBytesOn() {
