A version stored after a failed save of the image is loaded

Callers would see: a node that restarts with an older image than the one it stored last, until a leader confirms it.

Cause: a whole image was written and the deletion of the deltas failed, so the node went on with its former version. The next delta started from that version, and loading skipped it, since the stored image was newer.

Evidence, on the code before: aVersionStoredAfterAFailedSaveIsLoaded "failed write 1 expected [ClusterImage[version=3, ...": version 2 was loaded.

After a failed save the next one writes the whole image.

--- a/server/src/main/java/org/streamcourse/version/control/ImageStore.java
+++ b/server/src/main/java/org/streamcourse/version/control/ImageStore.java
@@ -25,6 +25,11 @@
   private int imageBytes;
   private int deltaBytes;
 
+  /**
+   * Whether a save has failed, so that the files may not end with the version of the next delta.
+   */
+  private boolean saveFailed;
+
   /**
    * Creates a store.
    *
@@ -64,10 +69,12 @@
       return;
     }
     byte[] whole = codec.encode(image);
+    saveFailed = true;
     disk.replace(IMAGE_FILE, whole);
     disk.delete(DELTAS_FILE);
     imageBytes = whole.length;
     deltaBytes = 0;
+    saveFailed = false;
   }
 
   /** Stores the delta from the image stored last to the next one. */
@@ -76,11 +83,13 @@
       return;
     }
     byte[] frame = Frames.write(codec.encode(delta));
-    if (deltaBytes + frame.length > Math.max(MIN_DELTA_BYTES, imageBytes)) {
+    if (saveFailed || deltaBytes + frame.length > Math.max(MIN_DELTA_BYTES, imageBytes)) {
       save(next);
       return;
     }
+    saveFailed = true;
     disk.appendAndSync(DELTAS_FILE, frame);
+    saveFailed = false;
     deltaBytes += frame.length;
   }
 }
--- a/server/src/test/java/org/streamcourse/version/control/ImageStoreTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/ImageStoreTest.java
@@ -2,11 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.streamcourse.process.FaultyDisk;
 import org.streamcourse.process.MemoryDisk;
 import org.streamcourse.process.MessageCodec;
+import org.streamcourse.process.StreamcourseException;
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.version.image.ClusterChange;
 import org.streamcourse.version.image.ClusterDelta;
@@ -65,6 +69,26 @@
     assertEquals(new ImageStore(torn, codec).load(), two);
   }
 
+  /** Guards against a restart with an older image than the one that was stored last. */
+  @Test
+  public void aVersionStoredAfterAFailedSaveIsLoaded() {
+    for (int writes = 0; writes < 2; writes++) {
+      MemoryDisk files = new MemoryDisk();
+      FaultyDisk faulty = new FaultyDisk(files);
+      ImageStore failing = new ImageStore(faulty, codec);
+      ClusterImage one = ClusterImage.EMPTY.apply(delta(ClusterImage.EMPTY));
+      failing.save(delta(ClusterImage.EMPTY), one);
+      ClusterImage two = one.apply(delta(one));
+      faulty.failOnceAfter(writes, FaultyDisk.Fault.NOTHING_WRITTEN);
+      expectThrows(StreamcourseException.class, () -> failing.save(two));
+      ClusterImage three = two.apply(delta(two));
+      List<ClusterChange> changes = new ArrayList<>(delta(one).changes());
+      changes.addAll(delta(two).changes());
+      failing.save(new ClusterDelta(one.version(), changes), three);
+      assertEquals(new ImageStore(files, codec).load(), three, "failed write " + writes);
+    }
+  }
+
   private static MemoryDisk copyOf(MemoryDisk disk) {
     MemoryDisk copy = new MemoryDisk();
     disk.list().forEach(name -> copy.replace(name, disk.read(name)));
