--- a/server/src/main/java/org/streamcourse/process/Disk.java
+++ b/server/src/main/java/org/streamcourse/process/Disk.java
@@ -32,13 +32,24 @@
   byte[] read(String name);
 
   /**
-   * Appends to a file and syncs it; on return the bytes are durable.
+   * Appends to a file and syncs it; on return the bytes are durable. If that fails, no append to
+   * the file succeeds before the bytes are removed from it.
    *
    * @param name file name; created when missing
    * @param bytes bytes to append
    */
   void appendAndSync(String name, byte[] bytes);
 
+  /**
+   * Syncs what a killed process may have written to a file without a sync; on return the content is
+   * durable.
+   *
+   * @param name file name
+   */
+  default void sync(String name) {
+    appendAndSync(name, new byte[0]);
+  }
+
   /**
    * Replaces a file as a whole; after a crash the file has either the old or the new content.
    *
