--- a/server/src/main/java/org/streamcourse/connection/http/RequestBodies.java
+++ b/server/src/main/java/org/streamcourse/connection/http/RequestBodies.java
@@ -35,7 +35,7 @@
     TOO_LARGE,
     /** Too many bytes are held; the same request may be accepted later. */
     TOO_MANY,
-    /** The body is not valid UTF-8. */
+    /** The body is not valid UTF-8, or its transfer coding is malformed. */
     MALFORMED
   }
 
