Numbers of a document beyond int count as the largest one

Cause: numbers were cast to int, which keeps their low bits.

Why it works: such a number means "no limit" in practice. The source, which is read back, keeps the number as it was sent.

--- a/server/src/main/java/org/streamcourse/process/settings/JsonFields.java
+++ b/server/src/main/java/org/streamcourse/process/settings/JsonFields.java
@@ -123,6 +123,19 @@
     return value.asLong();
   }
 
+  /**
+   * Reads a non-negative integer. One beyond the range of {@code int} counts as the largest one.
+   *
+   * @param node object with the field
+   * @param field name of the field
+   * @param path name of the object for errors
+   * @param fallback value for a missing field, or null if the field is required
+   * @return the number
+   */
+  public static int integer(JsonNode node, String field, String path, Long fallback) {
+    return (int) Math.min(Integer.MAX_VALUE, number(node, field, path, fallback));
+  }
+
   /**
    * Reads a non-negative number.
    *
