A prefix or limits of another type are refused, as in all other fields

Seen: a document whose path-prefix is a number or an object, or whose limits are a number, was acknowledged; the prefix was converted to a text, and the limits were replaced by their defaults.

Cause: these two fields were read without a check of their type.

Evidence: three rows of errorsOfInvalidDocumentsNameTheField, each failed before with "Expected FormatException to be thrown, but nothing was thrown".

Why it works: the prefix is read like the host, and a number is read only from an object; a missing prefix is "/" and missing limits are the defaults, as before.

--- a/server/src/main/java/org/streamcourse/process/settings/JsonFields.java
+++ b/server/src/main/java/org/streamcourse/process/settings/JsonFields.java
@@ -104,15 +104,31 @@
   }
 
   /**
-   * Reads a non-negative integer.
+   * Reads a non-empty string.
    *
    * @param node object with the field
    * @param field name of the field
    * @param path name of the object for errors
+   * @param fallback value for a missing field
+   * @return the text
+   */
+  public static String text(JsonNode node, String field, String path, String fallback) {
+    return node.path(field).isMissingNode() ? fallback : text(node, field, path);
+  }
+
+  /**
+   * Reads a non-negative integer.
+   *
+   * @param node object with the field, or a missing node
+   * @param field name of the field
+   * @param path name of the object for errors
    * @param fallback value for a missing field, or null if the field is required
    * @return the number
    */
   public static long number(JsonNode node, String field, String path, Long fallback) {
+    if (!node.isMissingNode()) {
+      requireObject(node, path);
+    }
     JsonNode value = node.path(field);
     if (value.isMissingNode() && fallback != null) {
       return fallback;
@@ -126,7 +142,7 @@
   /**
    * Reads a non-negative integer. One beyond the range of {@code int} counts as the largest one.
    *
-   * @param node object with the field
+   * @param node object with the field, or a missing node
    * @param field name of the field
    * @param path name of the object for errors
    * @param fallback value for a missing field, or null if the field is required
