Changes of the settings are detected after a reload that failed

Seen: after a reload that ended with an unchecked exception, no later change of the settings file was detected, so a process kept its old list of controllers until it was told by SIGHUP.

Cause: the exception ended the thread of the timer. Only invalid settings were caught by the caller; a reload beside the end of the worker is refused with another exception.

Evidence: SettingsWatchTest.aChangeAfterAFailedReloadIsDetected failed before with "IllegalStateException: the first reload fails".

Why it works: the watch logs the exception, and the timer goes on.

--- a/server/src/main/java/org/streamcourse/process/settings/SettingsWatch.java
+++ b/server/src/main/java/org/streamcourse/process/settings/SettingsWatch.java
@@ -6,9 +6,12 @@
 import java.nio.file.attribute.FileTime;
 import java.util.Timer;
 import java.util.TimerTask;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Polls the modification time of a settings file and runs an action when it changes. */
 public final class SettingsWatch extends TimerTask {
+  private static final Logger LOG = LoggerFactory.getLogger(SettingsWatch.class);
   private static final long PERIOD_MILLIS = 3_000;
 
   private final Path file;
@@ -46,7 +49,16 @@
     FileTime now = lastModified();
     if (now != null && !now.equals(lastSeen)) {
       lastSeen = now;
+      runChanged();
+    }
+  }
+
+  private void runChanged() {
+    try {
       changed.run();
+    } catch (RuntimeException e) {
+      // The timer would end with the exception, and no further change would be detected.
+      LOG.error("the change of {} could not be applied", file, e);
     }
   }
 }
