A settings file that was read half written is read again

Seen: when the second half of the settings file was written within the same tick of the file system's clock in which the watch had seen the first half, the whole file was never read, and the process kept the old settings.

Cause: the watch compared modification times only.

Evidence: SettingsWatchTest.aChangeWithinOneTickOfTheFileSystemsClockIsDetected failed before: "Condition with Lambda expression in ...SettingsWatchTest was not fulfilled within 10 seconds".

Why it works: the size and the identity of the file count too. The content is not compared, since the file may be a pipe that only its reader may read. A file that is written in place with another content of the same size within one tick is still missed.

--- a/server/src/main/java/org/streamcourse/process/settings/SettingsWatch.java
+++ b/server/src/main/java/org/streamcourse/process/settings/SettingsWatch.java
@@ -3,25 +3,32 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileTime;
 import java.util.Timer;
 import java.util.TimerTask;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Polls the modification time of a settings file and runs an action when it changes. */
+/** Polls the attributes of a settings file and runs an action when they change. */
 public final class SettingsWatch extends TimerTask {
   private static final Logger LOG = LoggerFactory.getLogger(SettingsWatch.class);
   private static final long PERIOD_MILLIS = 3_000;
 
+  /**
+   * What differs between two contents of the file. Two writes within one tick of the file system's
+   * clock have the same modification time.
+   */
+  private record Attributes(FileTime modified, long size, Object fileKey) {}
+
   private final Path file;
   private final Runnable changed;
-  private FileTime lastSeen;
+  private Attributes lastSeen;
 
   private SettingsWatch(Path file, Runnable changed) {
     this.file = file;
     this.changed = changed;
-    this.lastSeen = lastModified();
+    this.lastSeen = attributes();
   }
 
   /**
@@ -35,9 +42,10 @@
     timer.schedule(new SettingsWatch(file, changed), PERIOD_MILLIS, PERIOD_MILLIS);
   }
 
-  private FileTime lastModified() {
+  private Attributes attributes() {
     try {
-      return Files.getLastModifiedTime(file);
+      BasicFileAttributes read = Files.readAttributes(file, BasicFileAttributes.class);
+      return new Attributes(read.lastModifiedTime(), read.size(), read.fileKey());
     } catch (IOException e) {
       // The file is being replaced; the next poll finds the new one.
       return lastSeen;
@@ -46,7 +54,7 @@
 
   @Override
   public void run() {
-    FileTime now = lastModified();
+    Attributes now = attributes();
     if (now != null && !now.equals(lastSeen)) {
       lastSeen = now;
       runChanged();
--- a/server/src/test/java/org/streamcourse/process/settings/SettingsWatchTest.java
+++ b/server/src/test/java/org/streamcourse/process/settings/SettingsWatchTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
@@ -36,4 +37,16 @@
     Files.writeString(file, "a: 333");
     await().atMost(TIMEOUT).until(() -> reloads.get() == 2);
   }
+
+  /** Guards against a file that was read while half written, and whose rest is never read. */
+  @Test
+  public void aChangeWithinOneTickOfTheFileSystemsClockIsDetected() throws IOException {
+    Path file = file();
+    FileTime tick = Files.getLastModifiedTime(file);
+    AtomicInteger reloads = new AtomicInteger();
+    SettingsWatch.start(file, reloads::incrementAndGet);
+    Files.writeString(file, "a: 22");
+    Files.setLastModifiedTime(file, tick);
+    await().atMost(TIMEOUT).until(() -> reloads.get() == 1);
+  }
 }
