A document whose edit has no effect is proposed again

Would be seen: while a disk refuses writes now and then, the caller of a valid change gets no result of its change until its time-out of 900 ms, and then 503, though a leader and a majority serve; the change is agreed only when its sender sends it again.

Cause: after a failed write, of whatever changes, the proposals forgot the document that was under way from an earlier batch. The next document was then proposed beside it, as an edit of the version before both. Once the first was agreed the edit had no effect, and nothing proposed its document again. Each applied document also ended the wait for whichever one was under way.

Not seen on real processes.

Why it works: the proposals keep the document under way until a change with its version is applied. If the agreed document is still older then, its base had changed, and it is proposed again from the present one.

--- a/server/src/main/java/org/streamcourse/version/control/DocumentProposals.java
+++ b/server/src/main/java/org/streamcourse/version/control/DocumentProposals.java
@@ -17,7 +17,7 @@
  */
 final class DocumentProposals {
   private final Consumer<ClusterChange> propose;
-  private long proposedVersion = RoutingDocument.NONE.version();
+  private RoutingDocument proposed = RoutingDocument.NONE;
   private RoutingDocument next = RoutingDocument.NONE;
 
   /**
@@ -31,7 +31,7 @@
 
   /** Forgets all documents when a leadership begins or ends. */
   void restart() {
-    proposedVersion = RoutingDocument.NONE.version();
+    proposed = RoutingDocument.NONE;
     next = RoutingDocument.NONE;
   }
 
@@ -41,33 +41,41 @@
    * @return false if this or a newer version is agreed or about to be
    */
   boolean add(ClusterImage image, RoutingDocument document) {
-    long newest = Math.max(image.document().version(), Math.max(proposedVersion, next.version()));
+    long newest =
+        Math.max(image.document().version(), Math.max(proposed.version(), next.version()));
     boolean newer = document.version() > newest;
     next = newer ? document : next;
     proposeNext(image);
     return newer;
   }
 
-  /** Called when a change of the document was applied. */
-  void applied(ClusterImage image) {
-    proposedVersion = RoutingDocument.NONE.version();
+  /**
+   * Called when a change of the document was applied. The proposed document follows again if its
+   * edit had no effect, since another document had become the agreed one before it.
+   *
+   * @param version version that the change makes
+   */
+  void applied(long version, ClusterImage image) {
+    if (version == proposed.version()) {
+      next = proposed.version() > next.version() ? proposed : next;
+      proposed = RoutingDocument.NONE;
+    }
     proposeNext(image);
   }
 
   /** Called when proposed changes could not be stored, so that they can be proposed again. */
   void failed() {
-    proposedVersion = RoutingDocument.NONE.version();
+    proposed = RoutingDocument.NONE;
   }
 
   private void proposeNext(ClusterImage image) {
-    boolean idle = proposedVersion == RoutingDocument.NONE.version();
-    if (!idle || !next.isPresent()) {
+    if (proposed.isPresent() || !next.isPresent()) {
       return;
     }
     RoutingDocument document = next;
     next = RoutingDocument.NONE;
     if (document.version() > image.document().version()) {
-      proposedVersion = document.version();
+      proposed = document;
       propose.accept(shorterChange(image.document(), document));
     }
   }
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -244,8 +244,10 @@
   /** Answers the calls whose effect is now agreed, and sends an agreed order. */
   void applied(ClusterChange change, ClusterImage image) {
     pendingCalls.applied(image);
-    if (change instanceof DocumentReplaced || change instanceof DocumentEdited) {
-      documents.applied(image);
+    if (change instanceof DocumentReplaced replaced) {
+      documents.applied(replaced.document().version(), image);
+    } else if (change instanceof DocumentEdited edited) {
+      documents.applied(edited.edit().version(), image);
     } else if (change instanceof PromotionOrdered ordered) {
       ServiceImage service = image.service(ordered.service());
       if (service.promotion().equals(ordered.target()) && service.fence() == image.version()) {
--- a/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/ServiceSupervisorTest.java
@@ -418,4 +418,50 @@
     assertEquals(answer, List.of(Result.DONE));
     assertEquals(image.document(), second);
   }
+
+  /**
+   * Guards against an edit that has no effect, since another document was agreed before it, and
+   * whose caller waits in vain: a failed write of other changes does not withdraw that document.
+   */
+  @Test
+  public void aDocumentWhoseBaseHasChangedIsProposedAgain() {
+    LargeDocument versions = new LargeDocument(10);
+    replace(versions.addRoute());
+    agree();
+    RoutingDocument underWay = versions.addRoute();
+    RoutingDocument next = versions.addRoute();
+    replace(underWay);
+    supervisor.proposalsFailed();
+    List<Result> answer = replace(next);
+    assertEquals(proposed.size(), 2);
+    agree();
+    assertEquals(image.document(), underWay);
+    agree();
+    assertEquals(image.document(), next);
+    assertEquals(answer, List.of(Result.DONE));
+    assertEquals(proposed, List.of());
+  }
+
+  /** Guards against two documents that are under way at once, of which the second has no effect. */
+  @Test
+  public void theNextDocumentWaitsForTheOneUnderWay() {
+    LargeDocument versions = new LargeDocument(10);
+    replace(versions.addRoute());
+    agree();
+    RoutingDocument first = versions.addRoute();
+    RoutingDocument second = versions.addRoute();
+    RoutingDocument third = versions.addRoute();
+    replace(first);
+    supervisor.proposalsFailed();
+    replace(second);
+    replace(third);
+    ClusterChange change = proposed.remove(0);
+    image = image.apply(change);
+    supervisor.applied(change, image);
+    assertEquals(image.document(), first);
+    assertEquals(proposed.size(), 1, "the second document is under way");
+    agree();
+    agree();
+    assertEquals(image.document(), third);
+  }
 }
