--- a/server/src/test/java/org/streamcourse/process/settings/SettingsReaderTest.java
+++ b/server/src/test/java/org/streamcourse/process/settings/SettingsReaderTest.java
@@ -130,4 +130,18 @@
     StatementProxySettings settings = SettingsReader.read(file(json), StatementProxySettings.class);
     assertEquals(settings.sessions(), new HostPort("127.0.0.1", 1));
   }
+
+  /** Guards against a half-written file that ends the thread that reads it. */
+  @Test
+  public void aFileThatIsCutAnywhereIsReadOrRefused() throws IOException {
+    for (int length = 0; length < PROXY.length(); length++) {
+      Path file = file(PROXY.substring(0, length));
+      try {
+        SettingsReader.read(file, StatementProxySettings.class);
+      } catch (StreamcourseException e) {
+        assertEquals(e.code(), ErrorCode.INVALID_SETTINGS);
+      }
+      Files.delete(file);
+    }
+  }
 }
--- a/server/src/test/java/org/streamcourse/version/image/DocumentEditTest.java
+++ b/server/src/test/java/org/streamcourse/version/image/DocumentEditTest.java
@@ -123,4 +123,73 @@
     assertSame(next.document(), base);
     assertEquals(next.version(), image.version() + 1);
   }
+
+  private static String sourceText(Random random) {
+    String[] pieces = {"}", "{", "\\\"}\\\"", "\\u007d", "é", "\uD83D\uDE00", "\uD83D\uDE01", "x"};
+    StringBuilder text = new StringBuilder("z".repeat(random.nextInt(3)));
+    for (int i = random.nextInt(400); i > 0; i--) {
+      String piece = pieces[random.nextInt(pieces.length)];
+      text.append(random.nextInt(30) == 0 ? piece.repeat(1_100) : piece);
+    }
+    return text.toString();
+  }
+
+  private static String changedText(String base, Random random) {
+    StringBuilder text = new StringBuilder(base);
+    for (int i = random.nextInt(4); i > 0 && text.length() > 0; i--) {
+      int at = random.nextInt(text.length());
+      switch (random.nextInt(3)) {
+        case 0 -> text.setCharAt(at, (char) ('\uDE00' + random.nextInt(2)));
+        case 1 -> text.insert(at, "\uD83D\uDE00");
+        default -> text.delete(at, Math.min(text.length(), at + random.nextInt(50)));
+      }
+    }
+    return text.toString();
+  }
+
+  private static RoutingDocument document(
+      long version, List<Integer> rules, String source, Random random) {
+    List<RouteRule> routes =
+        rules.stream()
+            .map(i -> new RouteRule("d" + i, "s", RouteConsistency.PRIMARY, i, 1, 1, 1, 1, false))
+            .toList();
+    List<ServiceRules> services =
+        changed(rules, random).stream().map(i -> new ServiceRules("s" + i, i, i % 2)).toList();
+    List<TenantRule> tenants =
+        changed(rules, random).stream()
+            .map(i -> new TenantRule(new TenantId("t" + i), List.of(), i, 1.5 * i, i))
+            .toList();
+    SessionLimits limits = new SessionLimits(random.nextInt(5));
+    return new RoutingDocument(version, routes, services, limits, tenants, source);
+  }
+
+  /** Guards against a document that differs between the log, the nodes and what was sent. */
+  @Test
+  public void documentsWithAnyDifferenceAreRestoredFromAnEncodedEdit() {
+    for (long seed = 0; seed < 2_000; seed++) {
+      Random random = new Random(seed);
+      List<Integer> rules = randomList(random);
+      String source = sourceText(random);
+      RoutingDocument base = document(1, rules, source, random);
+      boolean other = random.nextInt(4) == 0;
+      RoutingDocument target =
+          document(
+              2,
+              other ? randomList(random) : changed(rules, random),
+              other ? sourceText(random) : changedText(source, random),
+              random);
+      ClusterChange edit = new DocumentEdited(DocumentEdit.between(base, target));
+      ClusterDelta delta = new ClusterDelta(1, List.of(edit));
+      ClusterImage image = ClusterImage.EMPTY.apply(new DocumentReplaced(base));
+      assertEquals(image.apply(decoded(delta)).document(), target, "seed " + seed);
+      assertEquals(
+          image.forNodes().apply(decoded(delta.forNodes())).document(),
+          target.withoutSource(),
+          "seed " + seed);
+    }
+  }
+
+  private ClusterDelta decoded(ClusterDelta delta) {
+    return (ClusterDelta) codec.decode(codec.encode(delta));
+  }
 }
