A result for a controller's former run answers no call of the present one

Callers saw (possible, no log of such a case exists): a change answered 200 that was never agreed, and a read answered 200 with an empty body.

Cause: LeaderForwarder numbered forwarded requests from 1 at each start of a controller. A peer link keeps a ForwardedResult while it is being opened, so the result of the former run's request n could arrive after a restart and answer request n of the present run, whatever that was. Operators' statements (AdminRequest, AdminResponse) took the same way.

Now a run begins to number its requests at a number of its own, as relayed streams and quota operations do already: random in the processes, derived from the host's incarnation in the simulator. The random number of the three processes is FirstNumber.

--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
@@ -279,6 +279,7 @@
             AgreementSettings.DEFAULT.withMaxVoters(World.CONTROLLERS.size()),
             ControlSettings.DEFAULT.withQuotas(QUOTAS),
             new RandomAdapter(random),
+            (long) host.incarnation() << Integer.SIZE,
             group.agentsOf(host));
     controllers.put(name, node);
     network.attach(name, node);
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimController.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimController.java
@@ -41,7 +41,8 @@
             World.CODEC,
             AgreementSettings.DEFAULT,
             world.hooks().controlSettings(),
-            new RandomAdapter(world.random()));
+            new RandomAdapter(world.random()),
+            (long) host.incarnation() << Integer.SIZE);
     world.network().attach(host.name(), node);
     node.start();
   }
--- a/lab/src/test/java/org/streamcourse/lab/simulation/RestartTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/RestartTest.java
@@ -49,7 +49,8 @@
             World.CODEC,
             AgreementSettings.DEFAULT,
             ControlSettings.DEFAULT,
-            new RandomAdapter(random));
+            new RandomAdapter(random),
+            (long) host.incarnation() << Integer.SIZE);
     node.start();
     clock.advanceTimeBy(Duration.ofSeconds(4));
   }
--- a/server/src/main/java/org/streamcourse/connection/admin/StatementRouter.java
+++ b/server/src/main/java/org/streamcourse/connection/admin/StatementRouter.java
@@ -24,8 +24,11 @@
    * @param worker the controller's worker
    * @param network peer network for messages to other controllers
    * @param controller this controller
+   * @param lastRequest number below those of the statements that this start forwards; far from
+   *     those of other starts
    */
-  public StatementRouter(Worker worker, PeerNetwork network, Controller controller) {
+  public StatementRouter(
+      Worker worker, PeerNetwork network, Controller controller, long lastRequest) {
     this.network = network;
     AdminExecutor executor = new AdminExecutor(controller);
     this.forwarder =
@@ -35,7 +38,8 @@
             executor::execute,
             (leader, id, statement) -> network.send(leader, new AdminRequest(id, statement)),
             notRun("there is no leader now"),
-            FORWARD_TIMEOUT_MILLIS);
+            FORWARD_TIMEOUT_MILLIS,
+            lastRequest);
   }
 
   private static AdminResult notRun(String why) {
--- a/server/src/main/java/org/streamcourse/process/ControllerNode.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerNode.java
@@ -58,6 +58,8 @@
    * @param agreementSettings timing of the consensus protocol
    * @param controlSettings timing of the control plane
    * @param random random source for election timeouts and identities
+   * @param lastRequest number below those of the requests that this start forwards; far from those
+   *     of other starts
    */
   public ControllerNode(
       String name,
@@ -69,7 +71,8 @@
       MessageCodec codec,
       AgreementSettings agreementSettings,
       ControlSettings controlSettings,
-      RandomGenerator random) {
+      RandomGenerator random,
+      long lastRequest) {
     this(
         name,
         controllers,
@@ -81,6 +84,7 @@
         agreementSettings,
         controlSettings,
         random,
+        lastRequest,
         ServiceAgents.NONE);
   }
 
@@ -97,6 +101,8 @@
    * @param agreementSettings timing of the consensus protocol
    * @param controlSettings timing of the control plane
    * @param random random source for election timeouts and identities
+   * @param lastRequest number below those of the requests that this start forwards; far from those
+   *     of other starts
    * @param agents external agents for self-registering services
    */
   public ControllerNode(
@@ -110,6 +116,7 @@
       AgreementSettings agreementSettings,
       ControlSettings controlSettings,
       RandomGenerator random,
+      long lastRequest,
       ServiceAgents agents) {
     this.worker = worker;
     this.network = network;
@@ -131,9 +138,9 @@
             random);
     controller =
         new Controller(worker, network, codec, agreement, machine, controlSettings, agents);
-    router = new StatementRouter(worker, network, controller);
+    router = new StatementRouter(worker, network, controller, lastRequest);
     MemoryLimits limits = agreementSettings.memory();
-    serviceCalls = new ServiceCallRouter(worker, network, controller, limits);
+    serviceCalls = new ServiceCallRouter(worker, network, controller, limits, lastRequest);
     memory = new ControllerMemory(limits, log, machine, serviceCalls);
   }
 
--- a/server/src/main/java/org/streamcourse/process/ControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ControllerProcess.java
@@ -73,7 +73,8 @@
             codec,
             AgreementSettings.DEFAULT.withMemory(MemoryLimits.ofThisProcess()),
             ControlSettings.DEFAULT,
-            new SecureRandom());
+            new SecureRandom(),
+            FirstNumber.random());
     platformList = new PlatformList(workers.get(), node::onPlatformList);
     metrics.gauge(
         "streamcourse_leader",
--- a/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
+++ b/server/src/main/java/org/streamcourse/process/ServiceControllerProcess.java
@@ -77,6 +77,7 @@
             AgreementSettings.DEFAULT.withMaxVoters(settings.maxVoters()).withMemory(limits),
             ControlSettings.DEFAULT.withQuotas(settings.quotas()),
             new SecureRandom(),
+            FirstNumber.random(),
             new ServiceAgents(promotionAgent, probe(loop, memberProtocol)));
     node.controller().setPlacement(settings.placement());
     metrics = settings.metrics() == null ? null : metrics();
--- a/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyProcess.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -31,9 +30,6 @@
    */
   private static final long ONLY_INCARNATION = 1;
 
-  /** High bits cleared in the random first stream number, so that counting up never overflows. */
-  private static final int OVERFLOW_BITS = 8;
-
   /** Fraction of the revocation time for which keys are accepted without a confirmation. */
   private static final double REVOCATION_SHARE = 0.8;
 
@@ -94,7 +90,7 @@
             self,
             new TcpMemberDialer(loop.group(), memberProtocol),
             log,
-            ThreadLocalRandom.current().nextLong() >>> OVERFLOW_BITS,
+            FirstNumber.random(),
             settings.quotas());
     if (settings.revocationMillis() != null) {
       node.setKeyTrustMillis(Math.round(settings.revocationMillis() * REVOCATION_SHARE));
--- a/server/src/main/java/org/streamcourse/version/control/LeaderForwarder.java
+++ b/server/src/main/java/org/streamcourse/version/control/LeaderForwarder.java
@@ -36,7 +36,7 @@
   private final R noLeader;
   private final long timeoutMillis;
   private final Map<Long, Consumer<R>> forwarded = new HashMap<>();
-  private long ids;
+  private long lastRequest;
 
   /**
    * Creates a forwarder.
@@ -47,6 +47,8 @@
    * @param sender forwards a request to the leader
    * @param noLeader response while no leader is known
    * @param timeoutMillis time after which a leader's response is no longer passed back
+   * @param lastRequest number below those of this start's requests; far from those of other starts,
+   *     since a response may arrive after a restart
    */
   public LeaderForwarder(
       Worker worker,
@@ -54,13 +56,15 @@
       BiConsumer<Q, Consumer<R>> executor,
       Sender<Q> sender,
       R noLeader,
-      long timeoutMillis) {
+      long timeoutMillis,
+      long lastRequest) {
     this.worker = worker;
     this.controller = controller;
     this.executor = executor;
     this.sender = sender;
     this.noLeader = noLeader;
     this.timeoutMillis = timeoutMillis;
+    this.lastRequest = lastRequest;
   }
 
   /**
@@ -84,8 +88,8 @@
       answer.accept(noLeader);
       return;
     }
-    ids++;
-    long id = ids;
+    lastRequest++;
+    long id = lastRequest;
     forwarded.put(id, answer);
     worker.schedule(timeoutMillis, () -> forwarded.remove(id));
     sender.send(leader, id, request);
--- a/server/src/main/java/org/streamcourse/version/control/ServiceCallRouter.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceCallRouter.java
@@ -28,9 +28,15 @@
    * @param network sends messages to other controllers
    * @param controller this controller
    * @param limits limits of what is kept in memory
+   * @param lastRequest number below those of the calls that this start forwards; far from those of
+   *     other starts
    */
   public ServiceCallRouter(
-      Worker worker, PeerNetwork network, Controller controller, MemoryLimits limits) {
+      Worker worker,
+      PeerNetwork network,
+      Controller controller,
+      MemoryLimits limits,
+      long lastRequest) {
     this.worker = worker;
     this.network = network;
     this.waiting = new ByteBudget(limits.callsBytes());
@@ -41,7 +47,8 @@
             controller::call,
             (leader, id, call) -> network.send(leader, new ForwardedCall(id, call)),
             Result.unavailable("there is no leader now"),
-            FORWARD_TIMEOUT_MILLIS);
+            FORWARD_TIMEOUT_MILLIS,
+            lastRequest);
   }
 
   /**
--- a/server/src/test/java/org/streamcourse/process/ControlFleet.java
+++ b/server/src/test/java/org/streamcourse/process/ControlFleet.java
@@ -111,7 +111,8 @@
             StreamTypes.codec(),
             AgreementSettings.DEFAULT.withMaxVoters(MAX_VOTERS).withMemory(limits),
             ControlSettings.DEFAULT,
-            new Random(name.hashCode()));
+            new Random(name.hashCode()),
+            0);
     node.controller().setPlacement(placement);
     links.attach(name, node);
     controllers.put(name, node);
--- a/server/src/test/java/org/streamcourse/process/StoredImageTest.java
+++ b/server/src/test/java/org/streamcourse/process/StoredImageTest.java
@@ -42,7 +42,8 @@
             StreamTypes.codec(),
             AgreementSettings.DEFAULT,
             ControlSettings.DEFAULT,
-            new Random(1));
+            new Random(1),
+            0);
     node.start();
     advance(0);
     return node;
--- a/server/src/test/java/org/streamcourse/version/control/ServiceCallRouterTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/ServiceCallRouterTest.java
@@ -67,7 +67,8 @@
                 StreamTypes.codec(),
                 AgreementSettings.DEFAULT.withMemory(LIMITS),
                 ControlSettings.DEFAULT,
-                new Random(1))
+                new Random(1),
+                0)
             .serviceCalls();
   }
 
