A rejected request of a former leadership confirms no later one

Callers could see (by reading, no log of such a case exists): a leader without a majority confirms nodes and answers reads of the configuration, with an older version, until it resigns.

If the old leader leads that later term too, the response counts for the later leadership, whose rounds are lower, and confirms all of them up to the old round. The request arrives that late when it waits on a link that the leader has replaced.

A request of an earlier term is now rejected with round 0, which confirms nothing. Responses to requests of the present term are unchanged: a term has one leadership, so its rounds are not counted twice.

Run: server tests.

--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementMessage.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementMessage.java
@@ -79,10 +79,16 @@
    * @param term follower's term
    * @param success whether the follower's log matched
    * @param matchIndex last index known to match; on failure the last index that may match
-   * @param round copied from the request
+   * @param round copied from the request, or {@link #NO_ROUND}
    */
   record AppendResponse(String from, long term, boolean success, long matchIndex, long round)
-      implements AgreementMessage {}
+      implements AgreementMessage {
+    /**
+     * Round in the response to a request of an earlier term. Each leadership counts its rounds from
+     * the start, so the request's round would confirm a later leadership of the same controller.
+     */
+    public static final long NO_ROUND = 0;
+  }
 
   /**
    * Sends a snapshot that replaces a follower's log.
--- a/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
+++ b/server/src/main/java/org/streamcourse/version/agreement/AgreementNode.java
@@ -450,7 +450,7 @@
 
   private void onAppendRequest(AppendRequest request) {
     if (request.term() < term()) {
-      respond(request.from(), false, log.lastIndex(), request.round());
+      respond(request.from(), false, log.lastIndex(), AppendResponse.NO_ROUND);
       return;
     }
     acceptLeader(request.from());
@@ -472,7 +472,7 @@
 
   private void onSnapshotRequest(SnapshotRequest request) {
     if (request.term() < term()) {
-      respond(request.from(), false, log.lastIndex(), request.round());
+      respond(request.from(), false, log.lastIndex(), AppendResponse.NO_ROUND);
       return;
     }
     acceptLeader(request.from());
