A new leader drops buffered heartbeats of long ago

Callers could see (by reading, no log of such a case exists): a primary that is changed without cause after an election, and a lost node that counts as running for 5 s more.

Cause: a controller that does not lead buffers the newest heartbeat of each node, without its time, until it is elected, be that hours later. The leader then counts the reports in it as made now, also a report of a former run of the node that a member was unreachable then.

Evidence: BufferedHeartbeatsTest failed before the change: "Sets differ: expected [late:1] but got [early:1, late:1]".

The buffer is for elections right after a start, while nodes send a heartbeat each 120 ms. Heartbeats older than 1.5 s, the age at which a leader ignores reports in any case, are dropped.

Run: server tests.

--- a/server/src/main/java/org/streamcourse/version/control/BufferedHeartbeats.java
+++ b/server/src/main/java/org/streamcourse/version/control/BufferedHeartbeats.java
@@ -36,11 +36,20 @@
 
   private static final int MAX_BUFFERED = 4_096;
 
+  /**
+   * Age beyond which a heartbeat is dropped, as {@link ControlSettings#gatewaySilenceMillis()}: a
+   * leader counts the reports of a heartbeat as made when it handles the heartbeat.
+   */
+  private static final long MAX_AGE_MILLIS = 1_500;
+
+  /** A heartbeat and the time at which it arrived. */
+  private record Received(NodeHeartbeat heartbeat, long atMillis) {}
+
   private final Worker worker;
   private final PeerNetwork network;
 
   /** Sorted by node name, so that a simulation is repeatable. */
-  private final Map<String, NodeHeartbeat> buffered = new TreeMap<>();
+  private final Map<String, Received> buffered = new TreeMap<>();
 
   private final Map<String, Long> sentMillis = new TreeMap<>();
   private final Map<String, Long> firstReceivedMillis = new TreeMap<>();
@@ -72,7 +81,7 @@
    */
   void add(String node, NodeHeartbeat heartbeat, ClusterImage stored) {
     if (buffered.size() < MAX_BUFFERED) {
-      buffered.put(node, heartbeat);
+      buffered.put(node, new Received(heartbeat, worker.now()));
     }
     boolean justStarted = worker.now() - startedMillis < STORED_IMAGE_MILLIS;
     if (justStarted
@@ -99,9 +108,16 @@
     return placement != null && !placement.region().equals(node.placement().region());
   }
 
-  /** Removes and returns the buffered heartbeats by node. */
+  /** Removes all buffered heartbeats and returns the recent ones by node. */
   Map<String, NodeHeartbeat> take() {
-    Map<String, NodeHeartbeat> taken = new TreeMap<>(buffered);
+    long now = worker.now();
+    Map<String, NodeHeartbeat> taken = new TreeMap<>();
+    buffered.forEach(
+        (node, received) -> {
+          if (now - received.atMillis() <= MAX_AGE_MILLIS) {
+            taken.put(node, received.heartbeat());
+          }
+        });
     buffered.clear();
     return taken;
   }
--- a/server/src/test/java/org/streamcourse/version/control/BufferedHeartbeatsTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/BufferedHeartbeatsTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.streamcourse.process.SchedulerWorker;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
 import org.streamcourse.version.image.ClusterChange;
@@ -65,4 +66,23 @@
   public void aControllerWithoutAPlacementSendsTheImageToAllRegions() {
     assertEquals(imageTimes(null, FAR, 1), List.of(0L));
   }
+
+  /** Guards against a new leader that takes a node's reports of long ago for present ones. */
+  @Test
+  public void aHeartbeatOfLongAgoIsNotHandledByANewLeader() {
+    SchedulerWorker worker = SchedulerWorker.onSchedulerClock(clock);
+    BufferedHeartbeats bufferedHeartbeats =
+        new BufferedHeartbeats(worker, (peer, message) -> sentAt.add(worker.now()));
+    add(bufferedHeartbeats, "early:1");
+    clock.advanceTimeBy(Duration.ofSeconds(10));
+    add(bufferedHeartbeats, "late:1");
+    clock.advanceTimeBy(Duration.ofSeconds(1));
+    assertEquals(bufferedHeartbeats.take().keySet(), Set.of("late:1"));
+  }
+
+  private static void add(BufferedHeartbeats bufferedHeartbeats, String node) {
+    NodeImage self = new NodeImage(node, 1, "n", 1, NEAR, false);
+    bufferedHeartbeats.add(
+        node, new NodeHeartbeat(self, 1, 1, 0, false, 0, true, List.of()), ClusterImage.EMPTY);
+  }
 }
