A log position for a node's former run does not count in the present one

Callers could see (by reading, no log of such a case exists): on the PostgreSQL side, a stale read soon after a restart of a proxy.

Cause: FloorReader and GatewayNode numbered their position requests from 1 at each start. A PositionReply for the former run that arrives after the restart counts as an answer to the present run's request of that number: a position from before the restart becomes a session's floor, below writes acknowledged since, or the proof that a replica is fresh.

Requests are now numbered from a number that the incarnation determines, as streams are; one method gives it to all three. It is not negative, since rounds for floors use the negative numbers.

--- a/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
+++ b/server/src/main/java/org/streamcourse/request/edge/EdgeNode.java
@@ -87,7 +87,7 @@
     this.router = new ReadRouter(policy, scores, random);
     this.floorReader = new FloorReader(worker, network, this);
     agent.onImage(waiting::imageChanged);
-    streamIds.set(agent.self().incarnation() << Integer.SIZE);
+    streamIds.set(agent.self().lastRequest());
   }
 
   /** Starts supervision of open streams. */
--- a/server/src/main/java/org/streamcourse/request/edge/FloorReader.java
+++ b/server/src/main/java/org/streamcourse/request/edge/FloorReader.java
@@ -49,6 +49,7 @@
     this.worker = worker;
     this.network = network;
     this.edge = edge;
+    this.lastRoundId = -edge.self().lastRequest();
   }
 
   void read(String group, Consumer<TermPosition> callback) {
--- a/server/src/main/java/org/streamcourse/request/gateway/GatewayNode.java
+++ b/server/src/main/java/org/streamcourse/request/gateway/GatewayNode.java
@@ -101,6 +101,7 @@
     this.settings = settings;
     this.poolSettings = poolSettings;
     this.controlSettings = controlSettings;
+    requestIds.set(agent.self().lastRequest());
     agent.onImage(this::imageChanged);
     agent.onConfirmed(this::confirmed);
   }
--- a/server/src/main/java/org/streamcourse/version/image/NodeImage.java
+++ b/server/src/main/java/org/streamcourse/version/image/NodeImage.java
@@ -13,6 +13,16 @@
  */
 public record NodeImage(
     String name, long incarnation, String host, int port, Placement placement, boolean draining) {
+  /**
+   * Returns where this incarnation begins to number its requests to other nodes. Replies may arrive
+   * after a restart, and must not match a request of another incarnation.
+   *
+   * @return number below those of its requests; not negative, far from those of other incarnations
+   */
+  public long lastRequest() {
+    return incarnation << Integer.SIZE >>> 1;
+  }
+
   /**
    * Sets whether the node is draining.
    *
