--- a/server/src/main/java/org/streamcourse/process/ProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/ProxyNode.java
@@ -88,7 +88,16 @@
           }
         };
     this.agentWorker = agentWorker;
-    agent = new NodeAgent(agentWorker, network, disk, codec, settings.control(), controllers, self);
+    agent =
+        new NodeAgent(
+            agentWorker,
+            network,
+            disk,
+            codec,
+            settings.control(),
+            controllers,
+            self,
+            self.lastRequest());
     gateways =
         new GatewayNode(
             workers,
--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -114,7 +114,14 @@
         new RelayServer(worker, network, table::held, this::transactionIdleMillis, log);
     this.agent =
         new NodeAgent(
-            worker, network, new NoDisk(), codec, ControlSettings.DEFAULT, controllers, self);
+            worker,
+            network,
+            new NoDisk(),
+            codec,
+            ControlSettings.DEFAULT,
+            controllers,
+            self,
+            lastStream);
     this.ownQuotas =
         new TenantQuotas(
             worker,
--- a/server/src/main/java/org/streamcourse/version/control/HeartbeatReplies.java
+++ b/server/src/main/java/org/streamcourse/version/control/HeartbeatReplies.java
@@ -66,7 +66,7 @@
 
   /**
    * Returns whether the whole image may be sent now. A lower sequence number than before shows that
-   * the node has restarted and needs the image at once.
+   * the node has restarted and needs the image at once; a restarted node with a higher one waits.
    */
   private boolean maySendImage(String node, long sequence) {
     long now = worker.now();
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -79,6 +79,8 @@
    * @param settings timing
    * @param controllers names of the controllers
    * @param self this node
+   * @param lastHeartbeat number below those of the heartbeats of this start; far from those of
+   *     other starts
    */
   public NodeAgent(
       Worker worker,
@@ -87,13 +89,15 @@
       MessageCodec codec,
       ControlSettings settings,
       List<String> controllers,
-      NodeImage self) {
+      NodeImage self,
+      long lastHeartbeat) {
     this.worker = worker;
     this.network = network;
     this.settings = settings;
     this.seeds = new CopyOnWriteArrayList<>(controllers);
     this.controllers = List.copyOf(controllers);
     this.self = self;
+    this.sequence = lastHeartbeat;
     this.confirmation = new NodeConfirmation(worker, settings);
     this.electionWait = new ElectionWait(worker);
     this.imageRequests = new ImageRequests(worker, network, () -> image.version() > 0);
--- a/server/src/test/java/org/streamcourse/process/ControlFleet.java
+++ b/server/src/test/java/org/streamcourse/process/ControlFleet.java
@@ -130,7 +130,8 @@
             StreamTypes.codec(),
             ControlSettings.DEFAULT,
             controllerNames,
-            self);
+            self,
+            0);
     agent.setHeartbeatPreparation(() -> reportSomeMembers(agent));
     links.attach(
         name,
--- a/server/src/test/java/org/streamcourse/request/gateway/GatewayStreamTest.java
+++ b/server/src/test/java/org/streamcourse/request/gateway/GatewayStreamTest.java
@@ -72,7 +72,8 @@
             StreamTypes.codec(),
             ControlSettings.DEFAULT,
             List.of("c1"),
-            self);
+            self,
+            0);
     gateways =
         new GatewayNode(
             () -> worker,
--- a/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
@@ -40,7 +40,8 @@
             StreamTypes.codec(),
             ControlSettings.DEFAULT,
             CONTROLLERS,
-            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false));
+            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false),
+            0);
     agent.start();
     clock.advanceTimeBy(Duration.ofMillis(TWO_ROUNDS_MILLIS));
     for (String controller : CONTROLLERS) {
@@ -61,7 +62,8 @@
             StreamTypes.codec(),
             ControlSettings.DEFAULT,
             List.of("c1:1"),
-            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false));
+            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false),
+            0);
     agent.start();
     answer(agent, last(sent));
     clock.advanceTimeBy(Duration.ofMillis(ControlSettings.DEFAULT.heartbeatMillis()));
