A node finds the next leader before it tries seeds that are gone (CONFIG, not in force in time)

Callers would see: after the loss of a leader a node that follows the former document for seconds, beyond the time in which a change must be in force, where the controllers of its settings file have been exchanged for others. Cause: a node without a reply tries the next controller of one list, 1.5 s each; the seeds of its settings stand in that list after those that the leader names, so behind the last of these it tries each seed, however long it is gone. Also, pushes of the new leader were not taken for a sign of who leads, and an empty list of seeds failed for good. Controllers that a leader has named are tried first, seeds when all of them were; a push names the leader.

--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -1,9 +1,6 @@
 package org.streamcourse.version.control;
 
-import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -46,9 +43,8 @@
   private final PeerNetwork network;
   private final ImageStore store;
   private final ControlSettings settings;
-  private final List<String> seeds;
   private final NodeImage self;
-  private List<String> controllers;
+  private final ControllerChoice controllers;
   private final List<Consumer<ClusterImage>> listeners = new CopyOnWriteArrayList<>();
   private final List<Runnable> confirmationListeners = new CopyOnWriteArrayList<>();
   private final MemberReports reports = new MemberReports();
@@ -62,7 +58,6 @@
   private Runnable heartbeatPreparation = () -> {};
   private long heldVersion;
   private long sequence;
-  private int controllerIndex;
   private long lastAnswerMillis;
   private boolean answered;
   private boolean reportAll = true;
@@ -94,8 +89,7 @@
     this.worker = worker;
     this.network = network;
     this.settings = settings;
-    this.seeds = new CopyOnWriteArrayList<>(controllers);
-    this.controllers = List.copyOf(controllers);
+    this.controllers = new ControllerChoice(controllers);
     this.self = self;
     this.sequence = lastHeartbeat;
     this.confirmation = new NodeConfirmation(worker, settings);
@@ -140,10 +134,10 @@
     if (confirmation.hasAny()) {
       return;
     }
-    int receivers = image.version() == 0 ? controllers.size() : 1;
+    int receivers = image.version() == 0 ? controllers.all().size() : 1;
     for (int i = 0; i < receivers; i++) {
       heartbeat();
-      controllerIndex = (controllerIndex + 1) % controllers.size();
+      controllers.next();
     }
     worker.schedule(STARTUP_HEARTBEAT_MILLIS, this::startupHeartbeats);
   }
@@ -297,7 +291,7 @@
     if (message instanceof HeartbeatReply reply) {
       onReply(reply);
     } else if (message instanceof ImagePush push) {
-      onPush(push.delta());
+      onPush(sender, push.delta());
     } else if (message instanceof LeaderHint hint) {
       onHint(hint);
     } else if (message instanceof StoredImage stored) {
@@ -322,7 +316,7 @@
    * @param message the message
    */
   public void sendToController(ControlMessage message) {
-    network.send(controllers.get(controllerIndex), message);
+    network.send(controllers.current(), message);
   }
 
   /**
@@ -331,24 +325,7 @@
    * @param names names of controllers
    */
   public void setSeeds(List<String> names) {
-    worker.execute(
-        () -> {
-          seeds.clear();
-          seeds.addAll(names);
-          updateControllers(controllers);
-        });
-  }
-
-  /** Updates the list of controllers; the seeds stay at its end. */
-  private void updateControllers(List<String> present) {
-    Set<String> next = new LinkedHashSet<>(present);
-    next.addAll(seeds);
-    if (next.equals(new LinkedHashSet<>(controllers))) {
-      return;
-    }
-    String current = controllers.get(controllerIndex);
-    controllers = List.copyOf(next);
-    controllerIndex = Math.max(0, controllers.indexOf(current));
+    worker.execute(() -> controllers.setSeeds(names));
   }
 
   private void onReply(HeartbeatReply reply) {
@@ -361,8 +338,9 @@
     answered = true;
     lastAnswerMillis = worker.now();
     reportAll = reply.reportAll();
+    controllers.responded();
     if (!reply.controllers().isEmpty()) {
-      updateControllers(reply.controllers());
+      controllers.setPresent(reply.controllers());
     }
     if (reply.image() != null && reply.image().version() > image.version()) {
       store.save(reply.image());
@@ -382,7 +360,9 @@
     }
   }
 
-  private void onPush(ClusterDelta delta) {
+  /** Only a leader sends changes, so a node whose controller is gone finds the next one by them. */
+  private void onPush(String sender, ClusterDelta delta) {
+    followLeader(sender);
     install(delta, "push");
     if (delta.fromVersion() > image.version()) {
       scheduleHeartbeat();
@@ -409,14 +389,13 @@
 
   private void onHint(LeaderHint hint) {
     electionWait.controllerResponded();
-    if (!hint.leader().isEmpty() && !controllers.contains(hint.leader())) {
-      List<String> known = new ArrayList<>(controllers);
-      known.add(hint.leader());
-      updateControllers(known);
+    if (!hint.leader().isEmpty()) {
+      followLeader(hint.leader());
     }
-    int index = controllers.indexOf(hint.leader());
-    if (index >= 0 && index != controllerIndex) {
-      controllerIndex = index;
+  }
+
+  private void followLeader(String leader) {
+    if (controllers.choose(leader)) {
       lastAnswerMillis = worker.now();
       reportAll = true;
       scheduleHeartbeat();
@@ -466,7 +445,7 @@
     heartbeatScheduled = false;
     long now = worker.now();
     if (now - lastAnswerMillis > UNANSWERED_HEARTBEATS_BEFORE_NEXT * settings.heartbeatMillis()) {
-      controllerIndex = (controllerIndex + 1) % controllers.size();
+      controllers.next();
       lastAnswerMillis = now;
       reportAll = true;
     }
@@ -479,7 +458,7 @@
     }
     List<MemberReport> sent = reports.toSend(all, sequence);
     network.send(
-        controllers.get(controllerIndex),
+        controllers.current(),
         new NodeHeartbeat(
             self, sequence, image.version(), heldVersion, leaving, sessions.getAsInt(), all, sent));
   }
--- a/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/NodeAgentTest.java
@@ -13,6 +13,7 @@
 import org.streamcourse.request.StreamTypes;
 import org.streamcourse.version.control.ControlMessage.HeartbeatReply;
 import org.streamcourse.version.control.ControlMessage.ImagePush;
+import org.streamcourse.version.control.ControlMessage.LeaderHint;
 import org.streamcourse.version.control.ControlMessage.MemberReport;
 import org.streamcourse.version.control.ControlMessage.NodeHeartbeat;
 import org.streamcourse.version.image.ClusterChange;
@@ -114,7 +115,8 @@
             StreamTypes.codec(),
             ControlSettings.DEFAULT,
             List.of("c1:1"),
-            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false));
+            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false),
+            0);
     agent.start();
     return agent;
   }
@@ -152,4 +154,71 @@
     agent.receive("c1:1", new ImagePush(delta(1, 2)));
     assertEquals(agent.image().version(), 4, "an older push changes nothing");
   }
+
+  private record Sent(String controller, NodeHeartbeat heartbeat) {}
+
+  private static NodeAgent started(
+      VirtualTimeScheduler clock, List<String> seeds, List<Sent> sent) {
+    NodeAgent agent =
+        new NodeAgent(
+            SchedulerWorker.onSchedulerClock(clock),
+            (peer, message) -> sent.add(new Sent(peer, (NodeHeartbeat) message)),
+            new MemoryDisk(),
+            StreamTypes.codec(),
+            ControlSettings.DEFAULT,
+            seeds,
+            new NodeImage("n:1", 1, "n", 1, new Placement("r", "z"), false),
+            0);
+    agent.start();
+    return agent;
+  }
+
+  /** Answers the newest heartbeat as the leader {@code z}, the last of three controllers. */
+  private static void answerAsLastController(NodeAgent agent, List<Sent> sent) {
+    agent.receive("z:1", new LeaderHint("z:1"));
+    long sequence = sent.get(sent.size() - 1).heartbeat().sequence();
+    agent.receive(
+        "z:1",
+        new HeartbeatReply(sequence, delta(0, 1), null, false, List.of("a:1", "b:1", "z:1")));
+  }
+
+  /** Guards against changes that come late since a node tries seeds that are gone for long. */
+  @Test
+  public void controllersNamedByALeaderAreTriedBeforeSeeds() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<Sent> sent = new ArrayList<>();
+    NodeAgent agent = started(clock, List.of("gone1:1", "gone2:1", "gone3:1"), sent);
+    answerAsLastController(agent, sent);
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    sent.clear();
+    clock.advanceTimeBy(Duration.ofMillis(2_000));
+    List<String> tried = sent.stream().map(Sent::controller).distinct().toList();
+    assertEquals(tried, List.of("z:1", "a:1"));
+  }
+
+  /** Guards against changes that come late since a node waits for a leader that is gone. */
+  @Test
+  public void aPushShowsWhichControllerLeads() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<Sent> sent = new ArrayList<>();
+    NodeAgent agent = started(clock, List.of("a:1", "b:1", "z:1"), sent);
+    answerAsLastController(agent, sent);
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    sent.clear();
+    agent.receive("b:1", new ImagePush(delta(2, 1)));
+    clock.advanceTimeBy(Duration.ofMillis(10));
+    assertEquals(sent.stream().map(Sent::controller).toList(), List.of("b:1"));
+  }
+
+  @Test
+  public void aNodeWithoutSeedsContactsThoseOfALaterReload() {
+    VirtualTimeScheduler clock = VirtualTimeScheduler.create();
+    List<Sent> sent = new ArrayList<>();
+    NodeAgent agent = started(clock, List.of(), sent);
+    clock.advanceTimeBy(Duration.ofMillis(1_000));
+    sent.clear();
+    agent.setSeeds(List.of("a:1"));
+    clock.advanceTimeBy(Duration.ofMillis(1_000));
+    assertTrue(sent.stream().anyMatch(each -> each.controller().equals("a:1")));
+  }
 }
