--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
@@ -326,19 +326,14 @@
   }
 
   void memberHeartbeat(
-      SimServiceMember member, String controller, long sequence, Runnable acknowledged) {
+      SimServiceMember member,
+      String controller,
+      long sequence,
+      Consumer<ServiceCall.Status> answer) {
     ServiceCall.MemberHeartbeat heartbeat =
         new ServiceCall.MemberHeartbeat(
             SERVICE, member.registration(), member.isPrimary(), sequence);
-    call(
-        member.host().name(),
-        controller,
-        heartbeat,
-        result -> {
-          if (result.status() == ServiceCall.Status.DONE) {
-            acknowledged.run();
-          }
-        });
+    call(member.host().name(), controller, heartbeat, result -> answer.accept(result.status()));
   }
 
   void deregister(SimServiceMember member) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.streamcourse.lab.simulation.ServiceChecks.LogEntry;
 import org.streamcourse.process.Worker;
+import org.streamcourse.version.control.ServiceCall;
 import org.streamcourse.version.image.MemberId;
 import org.streamcourse.version.image.RegisteredMember;
 import org.streamcourse.version.image.TermPosition;
@@ -17,6 +18,10 @@
  */
 final class SimServiceMember {
   private static final long HEARTBEAT_MILLIS = 1_200;
+
+  /** Time without an acknowledgement after which a member calls the next controller. */
+  private static final long HEARTBEAT_TIMEOUT_MILLIS = 1_000;
+
   private static final int SLOTS = 3;
   private static final int MAX_QUEUED = 24;
   private static final int PORT = 7_000;
@@ -34,6 +39,7 @@
   private long term = 1;
   private long lagMillis = 8;
   private long sequence;
+  private long acknowledgedSequence;
   private int busy;
   private int controller;
 
@@ -102,20 +108,41 @@
     host.worker().schedule(HEARTBEAT_MILLIS, this::heartbeatPeriodically);
   }
 
-  /** Sends the member's current state to the next controller in turn. */
+  /**
+   * Sends the member's current state to the next controller in turn, and to the one after it if the
+   * heartbeat is refused or not acknowledged in time.
+   */
   void sendHeartbeat() {
     sequence++;
     controller = (controller + 1) % World.CONTROLLERS.size();
+    long sent = sequence;
+    int incarnation = host.incarnation();
     boolean announced = draining;
     world.memberHeartbeat(
         this,
         World.CONTROLLERS.get(controller),
-        sequence,
-        () -> {
-          if (announced) {
-            world.checks().drainAcknowledged(id().value());
+        sent,
+        status -> {
+          if (status == ServiceCall.Status.DONE) {
+            acknowledged(sent, announced);
+          } else {
+            host.execute(incarnation, () -> sendAgain(sent));
           }
         });
+    host.worker().schedule(HEARTBEAT_TIMEOUT_MILLIS, () -> sendAgain(sent));
+  }
+
+  private void acknowledged(long heartbeat, boolean announced) {
+    acknowledgedSequence = Math.max(acknowledgedSequence, heartbeat);
+    if (announced) {
+      world.checks().drainAcknowledged(id().value());
+    }
+  }
+
+  private void sendAgain(long heartbeat) {
+    if (heartbeat == sequence && acknowledgedSequence < heartbeat) {
+      sendHeartbeat();
+    }
   }
 
   /** Announces the drain with heartbeats, serves for a while, then stops for good. */
