--- a/lab/src/main/java/org/streamcourse/lab/simulation/DocumentTraffic.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/DocumentTraffic.java
@@ -32,6 +32,7 @@
 
   private final ServiceWorld world;
   private final UniformRandomProvider random;
+  private final List<String> controllers;
   private final List<String> databases = new ArrayList<>();
   private final List<RoutingDocument> former = new ArrayList<>();
   private Runnable onAcknowledged = () -> {};
@@ -41,6 +42,7 @@
   DocumentTraffic(ServiceWorld world) {
     this.world = world;
     this.random = world.random();
+    this.controllers = world.controllers().names();
   }
 
   /** Repeats a task for some time, unless no more documents are to be sent. */
@@ -71,13 +73,13 @@
   /** Sends the next version until it is acknowledged. */
   void change() {
     RoutingDocument document = next(world.operator().nextVersion(), "");
-    send(document, random.nextInt(World.CONTROLLERS.size()));
+    send(document, random.nextInt(controllers.size()));
   }
 
   /** Sends two contents under the next version, to two controllers at the same time. */
   void race() {
     long version = world.operator().nextVersion();
-    int turn = random.nextInt(World.CONTROLLERS.size());
+    int turn = random.nextInt(controllers.size());
     RoutingDocument first = next(version, "a");
     RoutingDocument second = next(version, "b");
     send(first, turn);
@@ -154,7 +156,7 @@
     if (done[0]) {
       return;
     }
-    String controller = World.CONTROLLERS.get(turn % World.CONTROLLERS.size());
+    String controller = controllers.get(turn % controllers.size());
     sendOnce(
         document,
         controller,
@@ -184,7 +186,7 @@
   }
 
   private String randomController() {
-    return World.CONTROLLERS.get(random.nextInt(World.CONTROLLERS.size()));
+    return controllers.get(random.nextInt(controllers.size()));
   }
 
   // ---- observation ----
--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceWorld.java
@@ -122,6 +122,11 @@
     for (int i = 0; i < World.CONTROLLERS.size(); i++) {
       newHost(World.CONTROLLERS.get(i), i);
     }
+    for (int i = 0; i < size.spareControllers(); i++) {
+      String name = "c" + (World.CONTROLLERS.size() + i + 1);
+      newHost(name, i % REGIONS);
+      controllers.addSpare(name);
+    }
     for (int i = 0; i < size.proxies(); i++) {
       String name = "p" + (i + 1);
       proxies.put(name, new SimServiceProxy(this, newHost(name, i % REGIONS)));
@@ -190,7 +195,7 @@
    */
   public void run(Consumer<ServiceWorld> scenario) {
     network.setFaulty(true);
-    World.CONTROLLERS.forEach(name -> controllers.boot(name, true));
+    controllers.bootFirst();
     SimServiceMember first = members.values().iterator().next();
     first.setPrimary(true);
     members.values().forEach(SimServiceMember::boot);
@@ -222,7 +227,7 @@
     group.setDelaysOrders(false);
     connectionsBreak = false;
     network.healAll();
-    World.CONTROLLERS.forEach(controllers::bootIfDown);
+    controllers.names().forEach(controllers::bootIfDown);
     for (SimServiceMember member : members.values()) {
       member.setLagMillis(8);
       if (!member.host().isUp() && !member.isRemoved()) {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceControllers.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceControllers.java
@@ -1,5 +1,7 @@
 package org.streamcourse.lab.simulation;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -19,6 +21,7 @@
   private final Function<SimHost, ServiceAgents> agents;
   private final Map<String, ControllerNode> nodes = new TreeMap<>();
   private final Map<String, SimDisk> disks = new TreeMap<>();
+  private final List<String> names = new ArrayList<>(World.CONTROLLERS);
 
   SimServiceControllers(
       SimNetwork network,
@@ -33,6 +36,20 @@
     this.agents = agents;
   }
 
+  /** Adds a controller besides the first voters. */
+  void addSpare(String name) {
+    names.add(name);
+  }
+
+  List<String> names() {
+    return names;
+  }
+
+  /** Boots all controllers of a new fleet. */
+  void bootFirst() {
+    names.forEach(name -> boot(name, World.CONTROLLERS.contains(name)));
+  }
+
   void boot(String name, boolean bootstrap) {
     SimHost host = hosts.apply(name);
     SimDisk disk = disks.computeIfAbsent(name, any -> hooks.newDisk());
