--- a/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
+++ b/server/src/main/java/org/streamcourse/process/StatementProxyNode.java
@@ -44,12 +44,12 @@
  * A proxy for services whose members register themselves, without its sockets. Used by the process,
  * tests and the simulator.
  *
- * <p>The node serves once the controllers have confirmed an image with a routing document. While no
- * controller is reachable, or none of them is elected, it serves with the image that a restarted
- * controller or another proxy had stored, which may lack the newest changes. It continues to serve
- * while it is cut off from the controllers, since log positions for read floors come from the
- * members' own answers, and a replaced primary refuses writes; but it does not report a database as
- * unknown, since it may have missed that it was added.
+ * <p>The node serves once the controllers have confirmed an image with a routing document. If it
+ * has only just started, or while no controller is reachable or elected, it serves with the image
+ * that a restarted controller or another proxy had stored, which may lack the newest changes. It
+ * continues to serve while it is cut off from the controllers, since log positions for read floors
+ * come from the members' own answers, and a replaced primary refuses writes; but it does not report
+ * a database as unknown, since it may have missed that it was added.
  *
  * <p>All methods except the getters run on the node's worker.
  */
--- a/server/src/main/java/org/streamcourse/version/control/ElectionWait.java
+++ b/server/src/main/java/org/streamcourse/version/control/ElectionWait.java
@@ -4,9 +4,9 @@
 
 /**
  * Whether a node that was never confirmed should wait for the controllers to elect a leader before
- * it serves with a stored image. A stored image may lack the newest changes, so a node that can
- * expect a confirmation does not serve with it. Changed on the agent's worker; may be read on any
- * thread.
+ * it serves with a stored image. A stored image may lack the newest changes, so a node that started
+ * a while ago and can expect a confirmation does not serve with it. Changed on the agent's worker;
+ * may be read on any thread.
  */
 final class ElectionWait {
   /** Time within which running controllers that reach each other have elected a leader. */
--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -39,6 +39,12 @@
   private static final int UNANSWERED_HEARTBEATS_BEFORE_NEXT = 2;
   private static final int MAX_SENT_TIMES = 64;
 
+  /**
+   * Age up to which a node serves with a stored image at once. Operators allow a started node
+   * several seconds until it has the newest version, and its callers are waiting.
+   */
+  private static final long JUST_STARTED_MILLIS = 1_000;
+
   private final Worker worker;
   private final PeerNetwork network;
   private final ImageStore store;
@@ -54,6 +60,7 @@
   private final ImageRequests imageRequests;
   private volatile ClusterImage image;
   private volatile boolean leaving;
+  private volatile boolean hadJustStarted;
   private IntSupplier sessions = () -> 0;
   private Runnable heartbeatPreparation = () -> {};
   private long heldVersion;
@@ -202,12 +209,14 @@
 
   /**
    * Returns whether the node may serve with its image: it was confirmed since the start, or no
-   * confirmation can be expected soon, since no controller is reachable or none was elected.
+   * confirmation can be expected soon, since no controller is reachable or none was elected, or it
+   * had only just started when a stored image arrived.
    *
    * @return false while a newer image may be expected; safe from any thread
    */
   public boolean mayServe() {
-    return confirmation.hasAny() || (image.document().isPresent() && electionWait.isOver());
+    boolean servesStored = hadJustStarted || electionWait.isOver();
+    return confirmation.hasAny() || (image.document().isPresent() && servesStored);
   }
 
   /**
@@ -385,6 +394,7 @@
         confirmation.millisSinceStart());
     store.save(stored);
     install(stored, "stored image");
+    hadJustStarted |= confirmation.millisSinceStart() < JUST_STARTED_MILLIS;
   }
 
   private void onHint(LeaderHint hint) {
