--- a/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
+++ b/server/src/main/java/org/streamcourse/version/control/NodeAgent.java
@@ -39,10 +39,7 @@
   private static final int UNANSWERED_HEARTBEATS_BEFORE_NEXT = 2;
   private static final int MAX_SENT_TIMES = 64;
 
-  /**
-   * Age up to which a node serves with a stored image at once. Operators allow a started node
-   * several seconds until it has the newest version, and its callers are waiting.
-   */
+  /** Age of the agent up to which a node serves with a stored image at once. */
   private static final long JUST_STARTED_MILLIS = 1_000;
 
   private final Worker worker;
@@ -60,7 +57,10 @@
   private final ImageRequests imageRequests;
   private volatile ClusterImage image;
   private volatile boolean leaving;
+
+  /** Whether a stored image arrived at that age; stays set, so the node serves without a leader. */
   private volatile boolean hadJustStarted;
+
   private IntSupplier sessions = () -> 0;
   private Runnable heartbeatPreparation = () -> {};
   private long heldVersion;
