--- /dev/null
+++ b/review/standins-2/Member.java
@@ -0,0 +1,385 @@
+package standins2;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
+
+/** A sound database member. A line ends with CR LF, as PROTOCOL.md says. */
+public final class Member {
+  private static final int QUEUE = 40;
+
+  public final String id;
+  public volatile boolean primary;
+  public volatile boolean running = true;
+
+  /** Whether the answer to a statement (id, text) that was run is lost. */
+  public volatile BiPredicate<String, String> losesAnswer = (statement, text) -> false;
+
+  /** Is told each read and write that the member runs, with its id and text. */
+  public volatile BiConsumer<String, String> onRun = (statement, text) -> {};
+
+  /** Address that the member tells in its heartbeats, if not its own. */
+  public volatile String address;
+
+  volatile long term = 1;
+  final List<Group.Entry> log = new ArrayList<>();
+  private final Group group;
+  private final Log record;
+  private final int slots;
+  private final int maxConnections;
+  private final long handshakeMillis;
+  private final long workMillis;
+  private final Semaphore free;
+  private final AtomicInteger waiting = new AtomicInteger();
+  private final AtomicInteger connections = new AtomicInteger();
+  private final ServerSocket server;
+  private final List<String> controls;
+  private final String zone;
+  private int sequence;
+
+  public Member(
+      Group group, String id, boolean primary, String host, String zone, List<String> controls,
+      int slots, int maxConnections, long handshakeMillis, long workMillis, Log record)
+      throws IOException {
+    this.group = group;
+    this.id = id;
+    this.primary = primary;
+    this.zone = zone;
+    this.controls = controls;
+    this.slots = slots;
+    this.maxConnections = maxConnections;
+    this.handshakeMillis = handshakeMillis;
+    this.workMillis = workMillis;
+    this.record = record;
+    free = new Semaphore(slots, true);
+    server = new ServerSocket();
+    server.bind(new InetSocketAddress(InetAddress.getByName(host), 0), 100);
+    address = host + ':' + server.getLocalPort();
+    group.members.add(this);
+  }
+
+  public String ownAddress() {
+    return server.getInetAddress().getHostAddress() + ':' + server.getLocalPort();
+  }
+
+  public void start() {
+    run("accept", this::accept);
+    run("beats", this::beats);
+  }
+
+  static Thread daemon(Runnable task) {
+    Thread thread = new Thread(null, task, "standin", 512 * 1024);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  private static void run(String name, Runnable task) {
+    daemon(task).start();
+  }
+
+  Group.Entry last() {
+    return log.isEmpty() ? null : log.get(log.size() - 1);
+  }
+
+  public int open() {
+    return connections.get();
+  }
+
+  // ---- heartbeats ----
+
+  private void beats() {
+    int turn = 0;
+    while (running) {
+      boolean taken = beat(controls.get(turn % controls.size()));
+      turn += taken ? 0 : 1;
+      try {
+        Thread.sleep(taken ? 1_200 : 100);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  void beatNow() {
+    run("beat", () -> controls.forEach(this::beat));
+  }
+
+  private synchronized boolean beat(String control) {
+    sequence++;
+    String body =
+        String.format(
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
+                + "\"capacity\":%d,\"state\":\"ready\",\"cold-remaining-ms\":0,"
+                + "\"db-role\":\"%s\",\"seq\":%d}",
+            group.name, address, zone, slots, primary ? "primary" : "replica", sequence);
+    int status =
+        Http.post(control, "/streamcourse/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
+    return status >= 200 && status < 300;
+  }
+
+  // ---- sessions ----
+
+  private void accept() {
+    while (running) {
+      try {
+        Socket socket = server.accept();
+        run("session", () -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    int open = connections.incrementAndGet();
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      new Session(socket, open).serve();
+    } catch (IOException | InterruptedException e) {
+      // The other side has closed the connection.
+    } finally {
+      connections.decrementAndGet();
+    }
+  }
+
+  /** Reads a line up to CR LF; null at the end. */
+  static String readLine(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+    int previous = -1;
+    int next = in.read();
+    while (next >= 0) {
+      if (previous == '\r' && next == '\n') {
+        byte[] bytes = line.toByteArray();
+        return new String(bytes, 0, bytes.length - 1, StandardCharsets.ISO_8859_1);
+      }
+      line.write(next);
+      previous = next;
+      next = in.read();
+    }
+    return null;
+  }
+
+  private final class Session {
+    private final InputStream in;
+    private final OutputStream out;
+    private final int openConnections;
+    private final Map<String, String> shapes = new HashMap<>();
+    private final List<String[]> writes = new ArrayList<>();
+    private char state = 'I';
+    private boolean plain;
+    private long begunTerm;
+
+    Session(Socket socket, int openConnections) throws IOException {
+      in = new BufferedInputStream(socket.getInputStream());
+      out = socket.getOutputStream();
+      this.openConnections = openConnections;
+    }
+
+    void serve() throws IOException, InterruptedException {
+      String start = readLine(in);
+      if (start == null) {
+        return;
+      }
+      String[] words = start.split(" ");
+      if (words.length < 3 || !words[0].equals("START") || !words[1].equals(group.name)
+          || (words.length > 3 && !words[3].equals(id))) {
+        send("ERROR WRONGNODE " + id + "\r\n");
+        return;
+      }
+      if (openConnections > maxConnections) {
+        send("ERROR MAXCONN " + id + "\r\n");
+        return;
+      }
+      free.acquire();
+      try {
+        Thread.sleep(handshakeMillis);
+      } finally {
+        free.release();
+      }
+      send(ready());
+      String line = readLine(in);
+      while (line != null && running) {
+        String[] query = line.split(" ", 3);
+        if (!query[0].equals("QUERY") || query.length < 3) {
+          return;
+        }
+        String answer = statement(query[1], query[2]);
+        if (losesAnswer.test(query[1], query[2])) {
+          record.line("LOST-ANSWER " + id + " " + query[1] + " " + head(query[2]));
+        } else {
+          send(answer);
+        }
+        line = readLine(in);
+      }
+    }
+
+    private void send(String text) throws IOException {
+      out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+    }
+
+    private String ready() {
+      synchronized (group) {
+        Group.Entry last = last();
+        String position = last == null ? "-" : last.term() + "." + last.number();
+        return "READY " + state + ' ' + position + "\r\n";
+      }
+    }
+
+    private String complete(String rows, String signature) {
+      return rows + "COMPLETE " + signature + "\r\n" + ready();
+    }
+
+    private String error(String code) {
+      if (state == 'T') {
+        state = 'E';
+      }
+      return "ERROR " + code + ' ' + id + "\r\n" + ready();
+    }
+
+    private String statement(String statement, String text) throws InterruptedException {
+      String[] words = text.split(" ", 3);
+      if (words[0].equals("WAITPOS")) {
+        String[] wanted = words[1].split("\\.");
+        synchronized (group) {
+          Group.Entry last = last();
+          long lastTerm = last == null ? 0 : last.term();
+          long number = last == null ? 0 : last.number();
+          boolean has =
+              lastTerm > Long.parseLong(wanted[0])
+                  || (lastTerm == Long.parseLong(wanted[0])
+                      && number >= Long.parseLong(wanted[1]));
+          if (!has) {
+            return error("LAGGING");
+          }
+        }
+        return statement(statement, words[2]);
+      }
+      if (state == 'E' && !words[0].equals("ROLLBACK")) {
+        return error("MALFORMED");
+      }
+      switch (words[0]) {
+        case "BEGIN":
+          plain = words.length == 1;
+          begunTerm = term;
+          if (plain && !primary) {
+            return error("READONLY");
+          }
+          state = 'T';
+          return complete("", "-");
+        case "ROLLBACK":
+          writes.clear();
+          state = 'I';
+          return complete("", "-");
+        case "SET":
+          return complete("", "-");
+        case "RESET":
+          shapes.clear();
+          return complete("", "-");
+        case "PREPARE":
+          shapes.put(words[1], words[2].split(" ")[0]);
+          return complete("", "-");
+        case "STATUS":
+          return complete(
+              "ROW " + (primary ? "primary" : "replica") + " " + term + " 0.0 0 0 0 "
+                  + connections.get() + "\r\n",
+              "-");
+        default:
+          return worked(statement, text, words);
+      }
+    }
+
+    /** Runs what takes one of the member's slots. */
+    private String worked(String statement, String text, String[] words)
+        throws InterruptedException {
+      if (waiting.incrementAndGet() > QUEUE) {
+        waiting.decrementAndGet();
+        return error("BUSY");
+      }
+      free.acquire();
+      waiting.decrementAndGet();
+      try {
+        if (!words[0].equals("COMMIT")) {
+          TimeUnit.MILLISECONDS.sleep(workMillis);
+        }
+        return runSlot(statement, text, words);
+      } finally {
+        free.release();
+      }
+    }
+
+    private String runSlot(String statement, String text, String[] words) {
+      boolean lostLead = plain && state == 'T' && (!primary || term != begunTerm);
+      String word = words[0];
+      String thing = words.length > 1 ? words[1] : "";
+      String data = words.length > 2 ? words[2] : "";
+      if (word.equals("EXEC")) {
+        String shape = shapes.get(thing);
+        if (shape == null) {
+          return error("NOSTMT");
+        }
+        word = shape;
+        String[] rest = data.split(" ", 2);
+        thing = rest[0];
+        data = rest.length > 1 ? rest[1] : "";
+      }
+      if (word.equals("COMMIT")) {
+        if (!writes.isEmpty() && lostLead) {
+          return error("READONLY");
+        }
+        record.line("RUN " + id + " " + statement + " COMMIT");
+        for (String[] write : writes) {
+          group.commit(Member.this, write[0], write[1], write[2]);
+        }
+        writes.clear();
+        state = 'I';
+        return complete("", signature(statement));
+      }
+      if (lostLead || (word.equals("WRITE") && !primary)) {
+        return error("READONLY");
+      }
+      record.line("RUN " + id + " " + statement + " " + head(text));
+      onRun.accept(statement, text);
+      if (word.equals("READ")) {
+        String row;
+        synchronized (group) {
+          row = "none";
+          for (Group.Entry entry : log) {
+            row = entry.thing().equals(thing) ? entry.data() : row;
+          }
+        }
+        return complete("ROW " + row + "\r\n", signature(statement));
+      }
+      if (state == 'T') {
+        writes.add(new String[] {thing, data, statement});
+      } else {
+        group.commit(Member.this, thing, data, statement);
+      }
+      return complete("", signature(statement));
+    }
+
+    private String signature(String statement) {
+      return "sig." + statement + '.' + id;
+    }
+  }
+
+  static String head(String text) {
+    return text.length() <= 80 ? text : text.substring(0, 80) + "...(" + text.length() + ")";
+  }
+}
