--- a/review/standins-2/Documents.java
+++ b/review/standins-2/Documents.java
@@ -4,7 +4,7 @@
 public final class Documents {
   private Documents() {}
 
-  public static String of(long version, String service, int maxConnections) {
+  public static String of(long version, String service, int maxConnections, int syncReplicas) {
     return "{\"version\":" + version + ",\"routes\":["
         + "{\"name\":\"r-a\",\"hostname\":\"bookings\",\"path-prefix\":\"/\","
         + "\"route-type\":\"primary\",\"timeout-ms\":1000,\"target-latency-ms\":600,"
@@ -19,7 +19,7 @@
         + "\"max-staleness-ms\":2500}],"
         + "\"services\":[{\"name\":\"" + service + "\",\"health-path\":\"/health\","
         + "\"max-conns\":" + maxConnections + ",\"protocol\":\"h1\",\"tls\":false,"
-        + "\"sync-replicas\":0}],"
+        + "\"sync-replicas\":" + syncReplicas + "}],"
         + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
         + "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}}";
   }
--- a/review/standins-2/Member.java
+++ b/review/standins-2/Member.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 /** A sound database member. A line ends with CR LF, as PROTOCOL.md says. */
 public final class Member {
@@ -26,7 +27,7 @@
 
   public final String id;
   public volatile boolean primary;
-  public volatile boolean running = true;
+  public volatile boolean running;
 
   /** Whether the answer to a statement (id, text) that was run is lost. */
   public volatile BiPredicate<String, String> losesAnswer = (statement, text) -> false;
@@ -34,13 +35,23 @@
   /** Is told each read and write that the member runs, with its id and text. */
   public volatile BiConsumer<String, String> onRun = (statement, text) -> {};
 
+  /** Number of times that a read returns its row. */
+  public volatile int rows = 1;
+
   /** Address that the member tells in its heartbeats, if not its own. */
   public volatile String address;
 
+  /** State that the member tells in its heartbeats. */
+  public volatile String state = "ready";
+
+  /** Is told each order to step down; returns true if the order is left unanswered. */
+  public volatile Predicate<Long> leavesStepDown = newTerm -> false;
+
   volatile long term = 1;
+  volatile long pausedTerm;
   final List<Group.Entry> log = new ArrayList<>();
   private final Group group;
-  private final Log record;
+  final Log record;
   private final int slots;
   private final int maxConnections;
   private final long handshakeMillis;
@@ -79,6 +90,7 @@
   }
 
   public void start() {
+    running = true;
     run("accept", this::accept);
     run("beats", this::beats);
   }
@@ -116,8 +128,22 @@
     }
   }
 
-  void beatNow() {
-    run("beat", () -> controls.forEach(this::beat));
+  /** Sends a heartbeat at once, to the first machine that takes it. */
+  public void beatNow() {
+    run("beat", () -> controls.stream().anyMatch(this::beat));
+  }
+
+  /** Carries out an order to step down. */
+  public void stepDown(long newTerm) {
+    record.line("CARRIES OUT " + id + " STEPDOWN " + newTerm);
+    group.stepDown(this, newTerm);
+  }
+
+  /** Adds this member, as a replica, to a group that runs. */
+  public void join() {
+    term = group.members.stream().mapToLong(m -> m.term).max().orElse(1);
+    start();
+    group.catchUp(this);
   }
 
   private synchronized boolean beat(String control) {
@@ -125,9 +151,9 @@
     String body =
         String.format(
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-                + "\"capacity\":%d,\"state\":\"ready\",\"cold-remaining-ms\":0,"
+                + "\"capacity\":%d,\"state\":\"%s\",\"cold-remaining-ms\":0,"
                 + "\"db-role\":\"%s\",\"seq\":%d}",
-            group.name, address, zone, slots, primary ? "primary" : "replica", sequence);
+            group.name, address, zone, slots, state, primary ? "primary" : "replica", sequence);
     int status =
         Http.post(control, "/streamcourse/Instances.Heartbeat/" + id, body, Map.of(), 1_000);
     return status >= 200 && status < 300;
@@ -220,7 +246,9 @@
           return;
         }
         String answer = statement(query[1], query[2]);
-        if (losesAnswer.test(query[1], query[2])) {
+        if (answer == null) {
+          record.line("LEFT-UNANSWERED " + id + " " + query[2]);
+        } else if (losesAnswer.test(query[1], query[2])) {
           record.line("LOST-ANSWER " + id + " " + query[1] + " " + head(query[2]));
         } else {
           send(answer);
@@ -295,16 +323,40 @@
         case "PREPARE":
           shapes.put(words[1], words[2].split(" ")[0]);
           return complete("", "-");
+        case "PAUSE":
+          if (!primary && Long.parseLong(words[1]) > term) {
+            pausedTerm = Long.parseLong(words[1]);
+          }
+          record.line("ORDER " + id + " " + text);
+          return complete(statusRow(), "-");
+        case "RESUME":
+          pausedTerm = 0;
+          record.line("ORDER " + id + " " + text);
+          group.catchUp(Member.this);
+          return complete(statusRow(), "-");
+        case "STEPDOWN":
+          record.line("ORDER " + id + " " + text);
+          if (leavesStepDown.test(Long.parseLong(words[1]))) {
+            return null;
+          }
+          group.stepDown(Member.this, Long.parseLong(words[1]));
+          return complete(statusRow(), "-");
         case "STATUS":
-          return complete(
-              "ROW " + (primary ? "primary" : "replica") + " " + term + " 0.0 0 0 0 "
-                  + connections.get() + "\r\n",
-              "-");
+          return complete(statusRow(), "-");
         default:
           return worked(statement, text, words);
       }
     }
 
+    private String statusRow() {
+      synchronized (group) {
+        Group.Entry last = last();
+        String position = last == null ? "-" : last.term() + "." + last.number();
+        return "ROW " + (primary ? "primary" : "replica") + ' ' + term + ' ' + position + ' '
+            + pausedTerm + " 0 0 " + connections.get() + "\r\n";
+      }
+    }
+
     /** Runs what takes one of the member's slots. */
     private String worked(String statement, String text, String[] words)
         throws InterruptedException {
@@ -324,7 +376,8 @@
       }
     }
 
-    private String runSlot(String statement, String text, String[] words) {
+    private String runSlot(String statement, String text, String[] words)
+        throws InterruptedException {
       boolean lostLead = plain && state == 'T' && (!primary || term != begunTerm);
       String word = words[0];
       String thing = words.length > 1 ? words[1] : "";
@@ -344,11 +397,15 @@
           return error("READONLY");
         }
         record.line("RUN " + id + " " + statement + " COMMIT");
+        Group.Entry newest = null;
         for (String[] write : writes) {
-          group.commit(Member.this, write[0], write[1], write[2]);
+          newest = group.commit(Member.this, write[0], write[1], write[2]);
         }
         writes.clear();
         state = 'I';
+        if (newest != null && !group.awaitReceived(Member.this, newest)) {
+          return error("TIMEOUT");
+        }
         return complete("", signature(statement));
       }
       if (lostLead || (word.equals("WRITE") && !primary)) {
@@ -364,12 +421,13 @@
             row = entry.thing().equals(thing) ? entry.data() : row;
           }
         }
-        return complete("ROW " + row + "\r\n", signature(statement));
+        return complete(("ROW " + row + "\r\n").repeat(rows), signature(statement));
       }
       if (state == 'T') {
         writes.add(new String[] {thing, data, statement});
-      } else {
-        group.commit(Member.this, thing, data, statement);
+      } else if (!group.awaitReceived(
+          Member.this, group.commit(Member.this, thing, data, statement))) {
+        return error("TIMEOUT");
       }
       return complete("", signature(statement));
     }
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -60,9 +60,16 @@
     }
   }
 
+  /** Creates one more replica, which doesn't run yet. */
+  public Member replica(String id, int number, int slots, long workMillis) throws Exception {
+    return new Member(
+        group, id, false, "127.42.0." + number, "zone-" + (number % 3 + 1), fleet.controls(),
+        slots, maxConnections, 12, workMillis, record);
+  }
+
   /** Starts everything; ends the case with 2 when the system doesn't serve a write in time. */
   public void start() throws Exception {
-    if (!fleet.startAll(Documents.of(3, SERVICE, maxConnections), members)) {
+    if (!fleet.startAll(Documents.of(3, SERVICE, maxConnections, group.syncReplicas), members)) {
       couldNotRun("the machines are not ready in 40 s");
     }
     for (Fleet.Machine edge : fleet.edges) {
