--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -1,6 +1,7 @@
 package standins2;
 
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -13,9 +14,13 @@
   /** One record of a member's log. */
   public record Entry(long term, long number, String thing, String data, String id) {}
 
+  private static final double LAG_SPREAD = 0.6;
+  private static final int LAG_MAX_FACTOR = 6;
+
   public final String name;
   public final List<Member> members = new CopyOnWriteArrayList<>();
   final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, Member::daemon);
+  private final Random random = new Random(1);
   private final long lagMillis;
   private final long promoteMillis;
   private long highestFence = -1;
@@ -41,25 +46,42 @@
     at.log.add(entry);
     for (Member other : members) {
       if (other != at) {
-        timer.schedule(() -> replicate(at, other), lagMillis, TimeUnit.MILLISECONDS);
+        send(at, other, number);
       }
     }
     return entry;
   }
 
-  private synchronized void replicate(Member from, Member to) {
+  /** Sends records up to a number; they arrive in order, after a lag that varies. */
+  private void send(Member from, Member to, long number) {
+    long now = System.nanoTime() / 1_000;
+    double lag = lagMillis * Math.exp(LAG_SPREAD * random.nextGaussian());
+    long arrival = now + Math.round(1_000 * Math.min(LAG_MAX_FACTOR * lagMillis, lag));
+    to.nextArrivalMicros = Math.max(to.nextArrivalMicros, arrival);
+    timer.schedule(
+        () -> replicate(from, to, number), to.nextArrivalMicros - now, TimeUnit.MICROSECONDS);
+  }
+
+  private synchronized void replicate(Member from, Member to, long number) {
     if (from.primary && from.running && to.running && to.pausedTerm == 0) {
-      to.log.clear();
-      to.log.addAll(from.log);
+      int same = Math.min(to.log.size(), from.log.size());
+      while (same > 0 && to.log.get(same - 1) != from.log.get(same - 1)) {
+        same--;
+      }
+      to.log.subList(same, to.log.size()).clear();
+      int end = (int) Math.min(number, from.log.size());
+      if (same < end) {
+        to.log.addAll(from.log.subList(same, end));
+      }
       notifyAll();
     }
   }
 
   /** Sends a replica what the primary has, after the replica has started or was resumed. */
-  void catchUp(Member replica) {
+  synchronized void catchUp(Member replica) {
     Member from = primary();
     if (from != null && from != replica) {
-      timer.schedule(() -> replicate(from, replica), lagMillis, TimeUnit.MILLISECONDS);
+      send(from, replica, from.log.size());
     }
   }
 
@@ -73,7 +95,7 @@
         return false;
       }
       for (Member other : members) {
-        if (other != at && other.running && other.log.contains(entry)) {
+        if (other != at && other.running && other.holds(entry)) {
           return true;
         }
       }
@@ -119,7 +141,7 @@
     members.forEach(m -> m.term = term);
     for (Member other : members) {
       if (other != target) {
-        timer.schedule(() -> replicate(target, other), lagMillis, TimeUnit.MILLISECONDS);
+        send(target, other, target.log.size());
       }
     }
     members.forEach(Member::beatNow);
--- a/review/standins-2/Member.java
+++ b/review/standins-2/Member.java
@@ -14,6 +14,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -49,6 +51,7 @@
 
   volatile long term = 1;
   volatile long pausedTerm;
+  long nextArrivalMicros;
   final List<Group.Entry> log = new ArrayList<>();
   private final Group group;
   final Log record;
@@ -59,6 +62,7 @@
   private final Semaphore free;
   private final AtomicInteger waiting = new AtomicInteger();
   private final AtomicInteger connections = new AtomicInteger();
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final ServerSocket server;
   private final List<String> controls;
   private final String zone;
@@ -68,6 +72,16 @@
       Group group, String id, boolean primary, String host, String zone, List<String> controls,
       int slots, int maxConnections, long handshakeMillis, long workMillis, Log record)
       throws IOException {
+    this(
+        group, id, primary, host, 0, zone, controls, slots, maxConnections, handshakeMillis,
+        workMillis, record);
+  }
+
+  private Member(
+      Group group, String id, boolean primary, String host, int port, String zone,
+      List<String> controls, int slots, int maxConnections, long handshakeMillis, long workMillis,
+      Log record)
+      throws IOException {
     this.group = group;
     this.id = id;
     this.primary = primary;
@@ -80,7 +94,8 @@
     this.record = record;
     free = new Semaphore(slots, true);
     server = new ServerSocket();
-    server.bind(new InetSocketAddress(InetAddress.getByName(host), 0), 100);
+    server.setReuseAddress(true);
+    server.bind(new InetSocketAddress(InetAddress.getByName(host), port), 100);
     address = host + ':' + server.getLocalPort();
     group.members.add(this);
   }
@@ -105,6 +120,10 @@
     daemon(task).start();
   }
 
+  boolean holds(Group.Entry entry) {
+    return log.size() >= entry.number() && log.get((int) entry.number() - 1) == entry;
+  }
+
   Group.Entry last() {
     return log.isEmpty() ? null : log.get(log.size() - 1);
   }
@@ -133,6 +152,33 @@
     run("beat", () -> controls.stream().anyMatch(this::beat));
   }
 
+  /** Crashes: all connections end, and nothing is said. */
+  public void crash() throws IOException {
+    running = false;
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** Returns a new incarnation at the address of this one, with its log. */
+  public Member reborn(String newId) throws IOException {
+    String host = server.getInetAddress().getHostAddress();
+    Member next =
+        new Member(
+            group, newId, false, host, server.getLocalPort(), zone, controls, slots,
+            maxConnections, handshakeMillis, workMillis, record);
+    synchronized (group) {
+      next.log.addAll(log);
+      next.term = term;
+      next.primary = primary;
+      primary = false;
+    }
+    next.start();
+    group.catchUp(next);
+    return next;
+  }
+
   /** Carries out an order to step down. */
   public void stepDown(long newTerm) {
     record.line("CARRIES OUT " + id + " STEPDOWN " + newTerm);
@@ -165,6 +211,7 @@
     while (running) {
       try {
         Socket socket = server.accept();
+        sockets.add(socket);
         run("session", () -> serve(socket));
       } catch (IOException e) {
         return;
@@ -181,6 +228,7 @@
       // The other side has closed the connection.
     } finally {
       connections.decrementAndGet();
+      sockets.remove(socket);
     }
   }
 
