--- a/review/4/Release.java
+++ b/review/4/Release.java
@@ -15,6 +15,8 @@
   /** Time from the start of a new member to the drain of the old one, and to the next start. */
   private static final long GAP_MILLIS = 1_500;
 
+  private static final int WRITERS = 12;
+
   private final World world;
   private final Set<String> acknowledged = new ConcurrentSkipListSet<>();
 
@@ -30,7 +32,7 @@
 
   private void run() throws Exception {
     world.start();
-    for (int i = 0; i < 6; i++) {
+    for (int i = 0; i < WRITERS; i++) {
       int number = i;
       Member.daemon(() -> write(number)).start();
     }
