--- a/lab/src/main/java/org/streamcourse/lab/simulation/ServiceScenario.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/ServiceScenario.java
@@ -53,6 +53,12 @@
   LIMIT_LOWERED(ServiceScenario::lowerLimit),
   /** Links between running proxies are reset repeatedly, also right after they were opened. */
   LINKS_RESET(ServiceScenario::resetLinks),
+  /** The primary's process is killed and is back before its successor is promoted. */
+  PRIMARY_RETURNS(ServiceScenario::returnPrimary),
+  /** Members carry out requests of controllers late, while the primary is replaced or killed. */
+  REQUESTS_LATE(ServiceScenario::delayRequests),
+  /** All open connections to members go silent, while new ones work. */
+  CONNECTIONS_SILENT(ServiceScenario::silenceConnections),
   /** All controllers and proxies lose power right after a document was acknowledged. */
   POWER_LOST(DocumentFaults::losePower),
   /** All controllers and proxies lose power likewise, and a controller loses its disk. */
@@ -70,6 +76,12 @@
 
   private static final long MAX_DELAY_MILLIS = 3_000;
   private static final long OUTAGE_MILLIS = 4_000;
+  private static final int RETURNS = 3;
+  private static final long MIN_RETURN_MILLIS = 300;
+  private static final long MAX_RETURN_MILLIS = 1_200;
+
+  /** Time in which a service gets a primary again. */
+  private static final long FIRST_PRIMARY_MILLIS = 2_000;
 
   /** Operations per second; each of a tenant's two callers runs about ten. */
   private static final double LOW_RATE = 1;
@@ -161,6 +173,39 @@
                     }));
   }
 
+  private static void returnPrimary(ServiceWorld world) {
+    for (int i = 0; i < RETURNS; i++) {
+      long outage = MIN_RETURN_MILLIS + world.random().nextLong(MAX_RETURN_MILLIS);
+      world.after(
+          i * (FIRST_PRIMARY_MILLIS + MAX_RETURN_MILLIS),
+          () ->
+              world
+                  .group()
+                  .primary()
+                  .ifPresent(
+                      member -> {
+                        world.faults().count("primary-returned");
+                        member.host().kill();
+                        world.after(outage, () -> restartIfKilled(member));
+                      }));
+    }
+  }
+
+  private static void delayRequests(ServiceWorld world) {
+    world.group().setDelaysRequests(true);
+    returnPrimary(world);
+    replacePrimary(world);
+  }
+
+  private static void silenceConnections(ServiceWorld world) {
+    afterRandomDelay(
+        world,
+        () -> {
+          world.faults().count("connections-silent");
+          world.members().values().forEach(SimServiceMember::silenceConnections);
+        });
+  }
+
   private static void restartIfKilled(SimServiceMember member) {
     if (!member.host().isUp() && !member.isRemoved()) {
       member.boot();
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceConnection.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceConnection.java
@@ -35,6 +35,7 @@
   private String transactionOwner = "";
   private boolean working;
   private boolean ended;
+  private boolean silent;
 
   SimServiceConnection(
       ServiceWorld world, SimHost proxy, SimServiceMember member, Listener listener) {
@@ -70,7 +71,13 @@
         .deliver(
             proxy.name(),
             member.host().name(),
-            () -> member.host().execute(memberIncarnation, this::endAtMember));
+            () -> member.host().execute(memberIncarnation, this::closedByProxy));
+  }
+
+  private void closedByProxy() {
+    if (!silent) {
+      endAtMember();
+    }
   }
 
   /** Closes the connection because the proxy's process has ended. */
@@ -85,20 +92,35 @@
     toProxy(() -> listener.closed("the member's process has ended"));
   }
 
+  /** Loses all that either end sends from now on. */
+  void silence() {
+    silent = true;
+  }
+
+  /** Ends a silent connection at the member, which rolls back; the proxy isn't told. */
+  void dropSilent() {
+    endAtMember();
+  }
+
   private void endAtMember() {
     ended = true;
     member.closed(this);
   }
 
   private void toProxy(Runnable task) {
+    if (silent) {
+      return;
+    }
     world
         .network()
         .deliver(member.host().name(), proxy.name(), () -> proxy.execute(proxyIncarnation, task));
   }
 
   private void receive(MemberCommand command) {
-    commands.addLast(command);
-    next();
+    if (!silent) {
+      commands.addLast(command);
+      next();
+    }
   }
 
   private void next() {
--- a/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
+++ b/lab/src/main/java/org/streamcourse/lab/simulation/SimServiceMember.java
@@ -23,6 +23,9 @@
   /** Time without an acknowledgement after which a member calls the next controller. */
   private static final long HEARTBEAT_TIMEOUT_MILLIS = 1_000;
 
+  /** Time after which a member drops a connection whose other end is dark. */
+  private static final long SILENT_DROP_MILLIS = 3_000;
+
   private static final int SLOTS = 3;
   private static final int MAX_QUEUED = 24;
   private static final int PORT = 7_000;
@@ -286,6 +289,17 @@
     connections.remove(connection);
   }
 
+  /**
+   * Makes all open connections silent: nothing arrives at either end, and no end is closed. As with
+   * a dark peer, the member drops them after some seconds.
+   */
+  void silenceConnections() {
+    List<SimServiceConnection> silent = List.copyOf(connections);
+    silent.forEach(SimServiceConnection::silence);
+    host.worker()
+        .schedule(SILENT_DROP_MILLIS, () -> silent.forEach(SimServiceConnection::dropSilent));
+  }
+
   int connectionCount() {
     return connections.size();
   }
--- a/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
+++ b/lab/src/test/java/org/streamcourse/lab/simulation/ServiceScenarioTest.java
@@ -81,7 +81,8 @@
       {ServiceScenario.PRIMARY_LEAVES},
       {ServiceScenario.MEMBERS_REPLACED},
       {ServiceScenario.PRIMARY_CUT_FROM_REPLICAS},
-      {ServiceScenario.LEADER_KILLED_DURING_CHANGE}
+      {ServiceScenario.LEADER_KILLED_DURING_CHANGE},
+      {ServiceScenario.PRIMARY_RETURNS}
     };
   }
 
@@ -144,6 +145,25 @@
         "seed " + seed + ": " + world.checks().lastEvents());
   }
 
+  @DataProvider
+  public Object[][] seedsWithLateRequests() {
+    return new Object[][] {{5}, {23}, {41}, {47}, {60}};
+  }
+
+  /**
+   * Guards against requests that members carry out seconds late: a replica resumed during a later
+   * change and acknowledged a returned primary's commits, or paused after it had been resumed.
+   */
+  @Test(dataProvider = "seedsWithLateRequests")
+  public void lateRequestsLoseNoAcknowledgedWrite(long seed) {
+    ServiceWorld world = new ServiceWorld(seed, ServiceSize.DEFAULT.withSynchronousReplicas(1));
+    world.run(ServiceScenario.REQUESTS_LATE::start);
+    assertEquals(
+        world.checks().violations(),
+        List.of(),
+        "seed " + seed + ": " + world.checks().lastEvents());
+  }
+
   @DataProvider
   public Object[][] seedsWithFormerLossesOfThreeFaults() {
     long[] seeds = {12, 21, 24, 43, 51, 57, 62, 63, 66, 80, 97, 114, 115, 119, 121, 132, 171, 182};
--- a/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
+++ b/server/src/main/java/org/streamcourse/request/routing/MemberTable.java
@@ -97,14 +97,18 @@
       ServiceMembers members =
           services.computeIfAbsent(
               name, any -> new ServiceMembers(worker, self.placement().zone()));
-      updateService(members, image.service(name), shares);
+      boolean synchronous =
+          image.document().service(name).stream()
+              .anyMatch(rules -> rules.synchronousReplicas() > 0);
+      updateService(members, image.service(name), shares, synchronous);
     }
     List<Runnable> tasks = new ArrayList<>(changeTasks);
     changeTasks.clear();
     tasks.forEach(Runnable::run);
   }
 
-  private void updateService(ServiceMembers members, ServiceImage image, LinkShares shares) {
+  private void updateService(
+      ServiceMembers members, ServiceImage image, LinkShares shares, boolean synchronous) {
     Map<MemberId, MemberLinks> next = new HashMap<>();
     for (RegisteredMember member : image.all()) {
       MemberLinks links = members.links(member.id());
@@ -114,7 +118,7 @@
       next.put(member.id(), links);
       links.update(member, shares.of(image.name(), member, self.name()));
     }
-    members.replace(next, image.primary(), image.promotion());
+    members.replace(next, image.primary(), image.promotion(), synchronous);
   }
 
   /**
--- a/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
+++ b/server/src/main/java/org/streamcourse/request/routing/ServiceMembers.java
@@ -54,6 +54,10 @@
   private MemberId primary = MemberId.NONE;
   private MemberId promotion = MemberId.NONE;
   private MemberId deposed = MemberId.NONE;
+
+  /** Whether no commit may be acknowledged until the ordered promotion has taken effect. */
+  private boolean isFenced;
+
   private TenantId lastReader = TenantId.NONE;
 
   ServiceMembers(Worker worker, String zone) {
@@ -63,7 +67,19 @@
     this.memberWatch = new MemberWatch(worker, this);
   }
 
-  void replace(Map<MemberId, MemberLinks> next, MemberId agreedPrimary, MemberId agreedPromotion) {
+  /**
+   * Applies the agreed members.
+   *
+   * @param next links to all members
+   * @param agreedPrimary the primary, or {@link MemberId#NONE}
+   * @param agreedPromotion member that was ordered to become primary, or {@link MemberId#NONE}
+   * @param synchronous whether a commit is answered once a replica has received it
+   */
+  void replace(
+      Map<MemberId, MemberLinks> next,
+      MemberId agreedPrimary,
+      MemberId agreedPromotion,
+      boolean synchronous) {
     members.forEach(
         (id, links) -> {
           if (!next.containsKey(id)) {
@@ -77,6 +93,7 @@
     }
     primary = agreedPrimary;
     promotion = agreedPromotion;
+    isFenced = synchronous && promotion.isPresent();
   }
 
   void retireAll() {
@@ -137,12 +154,15 @@
   // ---- choice ----
 
   /**
-   * Finds the member that is believed to be primary.
+   * Finds the member that is believed to be primary. With synchronous replicas, this is the target
+   * of an order as soon as it is agreed: the former primary's replicas are paused, and what it
+   * acknowledged nevertheless would be lost.
    *
    * @return link pool of the member, or null when none is known or usable
    */
   MemberLinks primary() {
-    MemberLinks known = primary.equals(deposed) ? null : usablePrimary(primary);
+    boolean replaced = isFenced || primary.equals(deposed);
+    MemberLinks known = replaced ? null : usablePrimary(primary);
     return known == null && promotion.isPresent() ? usablePrimary(promotion) : known;
   }
 
--- a/server/src/main/java/org/streamcourse/version/control/MemberHeartbeats.java
+++ b/server/src/main/java/org/streamcourse/version/control/MemberHeartbeats.java
@@ -32,6 +32,12 @@
     return heartbeat.primary() && known != null && !known.primary();
   }
 
+  /** Returns whether a member's newest heartbeat reports that it is a replica. */
+  boolean reportsReplica(MemberId id) {
+    Received received = newest.get(id);
+    return received != null && !received.primary();
+  }
+
   /** Stores a heartbeat; returns false for one that arrived after a newer one. */
   boolean put(MemberHeartbeat heartbeat, long now) {
     MemberId id = heartbeat.member().id();
--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
@@ -1,6 +1,7 @@
 package org.streamcourse.version.control;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -30,7 +31,9 @@
  * before the pauses, because a write that waits for a replica keeps its slot at the primary, and
  * the connection for the request needs one.
  *
- * <p>Requests are repeated until a status shows their effect.
+ * <p>Requests are repeated until a status shows their effect. Once a promotion is ordered it can't
+ * be withdrawn, so the fence stays: members that start are paused too, and any other member that
+ * reports that it is primary is asked to step down.
  */
 final class ReplicaFence {
   private static final Logger LOG = LoggerFactory.getLogger(ReplicaFence.class);
@@ -121,6 +124,24 @@
     replicas(service).forEach(member -> pause(service, member));
   }
 
+  /**
+   * Keeps the service fenced until an ordered promotion has taken effect.
+   *
+   * @param service the service
+   * @param primaryReachable whether the service's primary is registered and can be reached
+   */
+  void hold(ServiceImage service, boolean primaryReachable) {
+    for (RegisteredMember member : service.all()) {
+      boolean target = member.id().equals(service.promotion());
+      boolean unreachablePrimary = isPrimary(service, member) && !primaryReachable;
+      if (requestsTo(member).isPrimary() && !target) {
+        stepDown(service, member);
+      } else if (!unreachablePrimary) {
+        pause(service, member);
+      }
+    }
+  }
+
   /**
    * Pauses draining replicas before the others, and returns whether the primary may step down: the
    * log of a draining replica then doesn't end last, and no other change of primary has to follow
@@ -225,18 +246,25 @@
 
   /**
    * Returns the member to promote, once every replica that is not lost is paused. A deregistered
-   * member is not waited for, since it does not return.
+   * member is not waited for, since it does not return. A primary that has stepped down is promoted
+   * again unless it is draining.
    *
    * @param service the service
+   * @param primaryReachable whether the service's primary is registered and can be reached
    * @param lost members that are not waited for
    */
-  Optional<MemberId> latest(ServiceImage service, Predicate<MemberId> lost) {
+  Optional<MemberId> latest(
+      ServiceImage service, boolean primaryReachable, Predicate<MemberId> lost) {
     boolean mayBeUnregistered = clock.getAsLong() - steppedDownMillis < REGISTRATION_MILLIS;
-    if (mayBeUnregistered || replicas(service).anyMatch(each -> blocks(each, lost))) {
+    if (mayBeUnregistered || replicas(service).anyMatch(each -> blocks(service, each, lost))) {
       return Optional.empty();
     }
-    Optional<TermPosition> last = lastEnd(replicas(service));
-    return replicas(service)
+    List<RegisteredMember> candidates =
+        service.all().stream()
+            .filter(each -> !isPrimary(service, each) || (primaryReachable && !each.draining()))
+            .toList();
+    Optional<TermPosition> last = lastEnd(candidates.stream());
+    return candidates.stream()
         .filter(each -> last.isPresent() && last.equals(endOf(each)))
         .min(Comparator.comparing(RegisteredMember::draining))
         .map(RegisteredMember::id);
@@ -246,8 +274,11 @@
     return member.id().equals(service.primary());
   }
 
-  private boolean blocks(RegisteredMember member, Predicate<MemberId> lost) {
-    return !requestsTo(member).isFenced() && !lost.test(member.id());
+  /** Returns whether the choice waits for a member; see {@link #hold} for other primaries. */
+  private boolean blocks(ServiceImage service, RegisteredMember member, Predicate<MemberId> lost) {
+    Requests requests = requestsTo(member);
+    boolean steppingDown = requests.isPrimary() && service.promotion().isPresent();
+    return !requests.isFenced() && !steppingDown && !lost.test(member.id());
   }
 
   /** Adds the members that are or may be paused to a resumption. */
--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFences.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFences.java
@@ -52,8 +52,15 @@
   Optional<MemberId> choose(
       ServiceImage service, boolean primaryReachable, Predicate<MemberId> lost) {
     ReplicaFence fence = fenceOf(service);
-    fence.advance(service, primaryReachable);
-    return fence.latest(service, lost);
+    if (!service.promotion().isPresent()) {
+      fence.advance(service, primaryReachable);
+    }
+    return fence.latest(service, primaryReachable, lost);
+  }
+
+  /** Keeps a service fenced until an ordered promotion has taken effect. */
+  void hold(ServiceImage service, boolean primaryReachable) {
+    fenceOf(service).hold(service, primaryReachable);
   }
 
   private ReplicaFence fenceOf(ServiceImage service) {
--- a/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
+++ b/server/src/main/java/org/streamcourse/version/control/ServiceSupervisor.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.version.control.PromotionAgent.Order;
 import org.streamcourse.version.control.PromotionAgent.Outcome;
 import org.streamcourse.version.control.ServiceCall.MemberHeartbeat;
@@ -43,6 +45,8 @@
  * All methods run on the controller's worker.
  */
 final class ServiceSupervisor {
+  private static final Logger LOG = LoggerFactory.getLogger(ServiceSupervisor.class);
+
   /** Time without an answer after which an order is sent again. */
   private static final long ORDER_ANSWER_MILLIS = 1_000;
 
@@ -161,7 +165,7 @@
     if (!next.equals(known)) {
       register(image, call.service(), next, known);
     }
-    observePrimary(service, call, becamePrimary);
+    observePrimary(image, service, call, becamePrimary);
     pendingCalls.add(image, agreed -> isRegistered(agreed, call.service(), next), answer);
   }
 
@@ -200,10 +204,19 @@
   /**
    * Records a new primary: a member that became primary since its last heartbeat, or was ordered
    * to. Another claim may be outdated and is ignored while the known primary claims the role too.
+   *
+   * <p>With synchronous replicas, only the target of an order ends the change, as the order can't
+   * be withdrawn: what another primary acknowledges is lost when the order takes effect.
    */
-  private void observePrimary(ServiceImage service, MemberHeartbeat call, boolean becamePrimary) {
+  private void observePrimary(
+      ClusterImage image, ServiceImage service, MemberHeartbeat call, boolean becamePrimary) {
     MemberId id = call.member().id();
-    if (!call.primary() || service.primary().equals(id)) {
+    boolean known = service.primary().equals(id) && !service.promotion().equals(id);
+    if (!call.primary() || known) {
+      return;
+    }
+    if (isSynchronous(image, service) && awaitsOther(service, id)) {
+      LOG.info("{}/{} reports that it is primary; the order stands", service.name(), id);
       return;
     }
     boolean expected = becamePrimary || service.promotion().equals(id);
@@ -219,6 +232,14 @@
     actions.propose(new PrimaryObserved(service.name(), id, logs.lastTerm(service)));
   }
 
+  /** Returns whether another member has been ordered to become primary. */
+  private boolean awaitsOther(ServiceImage service, MemberId id) {
+    OpenOrder open = orders.get(service.name());
+    boolean proposed = open != null && open.fence == 0 && isInProgress(open);
+    MemberId target = proposed ? open.target : service.promotion();
+    return target.isPresent() && !target.equals(id);
+  }
+
   private static boolean isSynchronous(ClusterImage image, ServiceImage service) {
     return image.document().service(service.name()).stream()
         .anyMatch(rules -> rules.synchronousReplicas() > 0);
@@ -268,11 +289,15 @@
   }
 
   private void checkPrimary(ServiceImage service, boolean synchronous) {
+    boolean ordered = synchronous && service.promotion().isPresent();
+    if (ordered) {
+      fences.hold(service, isPrimaryReachable(service));
+    }
     OpenOrder open = orders.get(service.name());
     if (open != null && !mayOrder(service, open)) {
       return;
     }
-    String cause = causeForChange(service);
+    String cause = ordered ? "an order is open" : causeForChange(service, synchronous);
     if (cause.isEmpty()) {
       abandonChange(service, synchronous);
       return;
@@ -329,8 +354,16 @@
     fences.advanceResumption(service);
   }
 
+  /**
+   * Returns the member to promote. An order is repeated for the same target, since the first one
+   * may still take effect: two successors in turn could not have each other's commits.
+   */
   private Optional<MemberId> fencedTarget(ServiceImage service) {
-    Optional<MemberId> latest = fences.choose(service, isPrimaryReachable(service), this::isLost);
+    boolean ordered = service.promotion().isPresent() && !isLost(service.promotion());
+    Optional<MemberId> latest =
+        ordered
+            ? Optional.of(service.promotion())
+            : fences.choose(service, isPrimaryReachable(service), this::isLost);
     boolean allRegistered = actions.now() - leadsSince >= FIRST_HEARTBEATS_MILLIS;
     return allRegistered ? latest : Optional.empty();
   }
@@ -358,7 +391,7 @@
   }
 
   /** Returns the reason why the service needs another primary; empty when it needs none. */
-  private String causeForChange(ServiceImage service) {
+  private String causeForChange(ServiceImage service, boolean synchronous) {
     if (service.all().isEmpty()) {
       return "";
     }
@@ -372,6 +405,9 @@
     if (primary.get().draining()) {
       return "the primary is draining";
     }
+    if (synchronous && heartbeats.reportsReplica(service.primary()) && !isClaimed(service)) {
+      return "the primary has stepped down";
+    }
     return isUnreachable(service, service.primary()) ? "the primary is unreachable" : "";
   }
 
--- a/server/src/test/java/org/streamcourse/version/control/SynchronousReplicasTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/SynchronousReplicasTest.java
@@ -329,6 +329,98 @@
     assertEquals(members.steppedDown, List.of());
   }
 
+  private void orderSuccessorOfCrashedPrimary() {
+    setLogEnd("i-2", 10);
+    setLogEnd("i-3", 12);
+    reportUnreachable("i-1");
+    assertEquals(ordered(), List.of("i-3"));
+  }
+
+  /** Registers the next incarnation of i-1, which has its log and its role. */
+  private void restartPrimary() {
+    members.primaries.remove(new MemberId("i-1"));
+    members.primaries.add(new MemberId("i-4"));
+    setLogEnd("i-4", 14);
+    RegisteredMember next = new RegisteredMember(new MemberId("i-4"), "10.0.0.1", 1, "z", 3, false);
+    supervisor.memberHeartbeat(image, new MemberHeartbeat(SERVICE, next, true, 1), any -> {});
+    agree();
+    supervisor.memberHeartbeat(image, new MemberHeartbeat(SERVICE, next, true, 2), any -> {});
+    agree();
+  }
+
+  /**
+   * Guards against lost commits: a crashed primary that was back before its ordered successor led
+   * ended the change, the replicas were resumed, and it acknowledged commits that the successor
+   * lacks.
+   */
+  @Test
+  public void aReturnedPrimaryDoesNotEndTheFenceOfAnOrder() {
+    orderSuccessorOfCrashedPrimary();
+    restartPrimary();
+    orderedAfter(700);
+    assertEquals(members.resumed, List.of());
+    assertEquals(service().promotion(), new MemberId("i-3"));
+    assertEquals(members.primaries, Set.of(), "the returned primary has stepped down");
+    members.primaries.add(new MemberId("i-3"));
+    heartbeat("i-3", false, true, 2);
+    agree();
+    assertEquals(service().primary(), new MemberId("i-3"));
+  }
+
+  /** Guards against the same loss with a primary that was cut off and has not restarted. */
+  @Test
+  public void aPrimaryThatIsReachableAgainDoesNotEndTheFenceOfAnOrder() {
+    orderSuccessorOfCrashedPrimary();
+    reportPosition("i-1", 14);
+    orderedAfter(800);
+    assertEquals(members.resumed, List.of());
+    assertEquals(service().promotion(), new MemberId("i-3"));
+    assertEquals(members.primaries, Set.of());
+  }
+
+  /** Guards against the same loss under a leader that finds the order in the image. */
+  @Test
+  public void aNewLeaderKeepsTheFenceOfAnOrder() {
+    orderSuccessorOfCrashedPrimary();
+    supervisor.restart();
+    restartPrimary();
+    assertEquals(orderedAfter(1_700).subList(0, 2), List.of("i-3", "i-3"));
+    assertEquals(members.resumed, List.of());
+  }
+
+  /** Guards against lost commits: a replica that starts after the order acknowledges commits. */
+  @Test
+  public void aReplicaThatStartsWhileAnOrderIsOpenIsPaused() {
+    orderSuccessorOfCrashedPrimary();
+    heartbeat("i-5", false, false, 1);
+    agree();
+    setLogEnd("i-5", 12);
+    orderedAfter(200);
+    assertEquals(
+        members.paused, Set.of(new MemberId("i-2"), new MemberId("i-3"), new MemberId("i-5")));
+  }
+
+  /**
+   * Guards against a service without a primary: the only primary has stepped down, and the member
+   * that was ordered to follow it has ended.
+   */
+  @Test
+  public void aPrimaryThatHasSteppedDownIsReplacedWhenTheTargetOfItsOrderIsGone() {
+    orderSuccessorOfCrashedPrimary();
+    reportPosition("i-1", 14);
+    orderedAfter(800);
+    heartbeat("i-1", false, false, 2);
+    supervisor.memberLeaves(image, new MemberLeaves(new MemberId("i-3")), any -> {});
+    agree();
+    reportPosition("i-1", 14);
+    List<String> latest = orderedAfter(1_000);
+    assertEquals(latest.get(latest.size() - 1), "i-1", "its log has every acknowledged commit");
+    heartbeat("i-1", false, true, 3);
+    agree();
+    assertEquals(service().primary(), new MemberId("i-1"));
+    assertEquals(service().promotion(), MemberId.NONE);
+  }
+
   @Test
   public void replicasPausedByAPreviousLeaderAreResumedOnce() {
     setLogEnd("i-2", 10);
