--- a/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.streamcourse.version.image.TenantId;
 
 /** Open links that no session uses. The most recently used link is handed out first. */
@@ -37,6 +38,14 @@
     demand.add(link.tenant());
   }
 
+  /** Removes and returns the links over which nothing was answered since a time. */
+  List<MemberLink> takeUnansweredSince(long sinceMillis) {
+    List<MemberLink> unanswered =
+        links.stream().filter(link -> !link.hasAnsweredSince(sinceMillis)).toList();
+    links.removeAll(unanswered);
+    return unanswered;
+  }
+
   void remove(MemberLink link) {
     links.remove(link);
   }
--- a/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkAllowance.java
@@ -1,5 +1,9 @@
 package org.streamcourse.connection.member;
 
+import static net.logstash.logback.argument.StructuredArguments.keyValue;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.version.image.LinkShare;
 
 /**
@@ -7,14 +11,36 @@
  * while this node is one.
  */
 final class LinkAllowance {
+  private static final Logger LOG = LoggerFactory.getLogger(LinkAllowance.class);
+
   /** Time for which a node remains a fallback holder after the last request that needed one. */
   private static final long FALLBACK_MILLIS = 2_000;
 
+  private final String member;
   private LinkShare share = LinkShare.none();
   private boolean fallback;
   private long fallbackUntilMillis;
 
+  /**
+   * Creates an allowance of no links.
+   *
+   * @param member service and member, for logs
+   */
+  LinkAllowance(String member) {
+    this.member = member;
+  }
+
   void update(LinkShare agreed) {
+    boolean holds = agreed.role() != LinkShare.Role.ASKER || share.role() != LinkShare.Role.ASKER;
+    if (agreed.hasOwner() && holds && agreed.role() != share.role()) {
+      LOG.info(
+          "role for a member's connections {} {} {} {} {}",
+          keyValue("member", member),
+          keyValue("role", agreed.role()),
+          keyValue("before", share.role()),
+          keyValue("links", agreed.links()),
+          keyValue("slots", agreed.slots()));
+    }
     share = agreed;
   }
 
--- a/server/src/main/java/org/streamcourse/connection/member/LinkPool.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkPool.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.version.image.TenantId;
 
 /**
@@ -12,6 +14,8 @@
  * <p>All methods run on the proxy's worker.
  */
 final class LinkPool {
+  private static final Logger LOG = LoggerFactory.getLogger(LinkPool.class);
+
   private final Set<MemberLink> links = new LinkedHashSet<>();
   private final LinksInUse inUse = new LinksInUse();
   private final IdleLinks idle = new IdleLinks();
@@ -46,7 +50,11 @@
 
   /** Returns when the oldest unanswered command on an own link was sent. */
   long oldestUnansweredMillis() {
-    return MemberLink.oldestUnansweredMillis(links);
+    long oldest = Long.MAX_VALUE;
+    for (MemberLink link : links) {
+      oldest = Math.min(oldest, link.oldestUnansweredMillis());
+    }
+    return oldest;
   }
 
   /** Adds an own link whose opening starts. */
@@ -95,6 +103,31 @@
     }
   }
 
+  /**
+   * Closes the links whose oldest command has been unanswered for too long, and the idle links that
+   * may have gone silent with them.
+   */
+  void closeSilent() {
+    long sinceMillis = Long.MAX_VALUE;
+    for (MemberLink link : List.copyOf(links)) {
+      long overdueSince = link.overdueSinceMillis();
+      if (overdueSince != Long.MAX_VALUE) {
+        sinceMillis = Math.min(sinceMillis, overdueSince);
+        LOG.warn("closes a link to {}: an answer is overdue", link.member());
+        link.close("the member did not answer in time");
+      }
+    }
+    closeIdleUnansweredSince(sinceMillis);
+  }
+
+  /** Closes the idle links over which nothing was answered since a time, MAX_VALUE for none. */
+  void closeIdleUnansweredSince(long sinceMillis) {
+    if (sinceMillis == Long.MAX_VALUE) {
+      return;
+    }
+    idle.takeUnansweredSince(sinceMillis).forEach(MemberLink::close);
+  }
+
   void closeAll() {
     List.copyOf(links).forEach(MemberLink::close);
   }
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -45,9 +45,6 @@
     void ended(MemberLink link, Answer refusal, String cause);
   }
 
-  /** An unanswered command that was sent; {@code slot} is null when it needs no slot. */
-  private record Outstanding(CommandListener listener, long sentMillis, MemberSlots.Use slot) {}
-
   /** A command that waits for one of the member's slots, or behind a command that does. */
   private record Waiting(MemberCommand command, CommandListener listener) {}
 
@@ -57,7 +54,7 @@
   private final TenantId tenant;
   private final Owner owner;
   private final MemberSlots slots;
-  private final Deque<Outstanding> outstanding = new ArrayDeque<>();
+  private final OutstandingCommands outstanding = new OutstandingCommands();
   private final Deque<Waiting> waiting = new ArrayDeque<>();
   private final Map<String, String> values = new HashMap<>();
   private final Map<PreparedShape, String> prepared = new LinkedHashMap<>();
@@ -153,16 +150,20 @@
 
   /** Returns when the oldest unanswered command was sent, or {@link Long#MAX_VALUE}. */
   long oldestUnansweredMillis() {
-    return outstanding.isEmpty() ? Long.MAX_VALUE : outstanding.peekFirst().sentMillis();
+    return outstanding.oldestMillis();
   }
 
-  /** Returns when the oldest unanswered command of several links was sent. */
-  static long oldestUnansweredMillis(Iterable<MemberLink> links) {
-    long oldest = Long.MAX_VALUE;
-    for (MemberLink link : links) {
-      oldest = Math.min(oldest, link.oldestUnansweredMillis());
-    }
-    return oldest;
+  /**
+   * Returns when the oldest unanswered command was sent if its answer is overdue, else {@link
+   * Long#MAX_VALUE}.
+   */
+  long overdueSinceMillis() {
+    return outstanding.overdueSinceMillis(worker.now());
+  }
+
+  /** Returns whether the member has answered over this link since a time. */
+  boolean hasAnsweredSince(long sinceMillis) {
+    return outstanding.hasAnswerSince(sinceMillis);
   }
 
   // ---- use by a session ----
@@ -341,7 +342,8 @@
         }
       }
       waiting.pollFirst();
-      outstanding.addLast(new Outstanding(next.listener(), worker.now(), slot));
+      outstanding.add(
+          new OutstandingCommands.Sent(next.command(), next.listener(), worker.now(), slot));
       if (channel != null) {
         channel.send(next.command());
       }
@@ -392,7 +394,8 @@
     close("closed by this node");
   }
 
-  private void close(String cause) {
+  /** Closes the link; unanswered commands are reported as lost or as not sent. */
+  void close(String cause) {
     MemberChannel closing = channel;
     closed(cause);
     if (closing != null) {
@@ -455,7 +458,7 @@
       return;
     }
     owner.responded(this);
-    Outstanding command = outstanding.pollFirst();
+    OutstandingCommands.Sent command = outstanding.takeAnswered(worker.now());
     if (command == null) {
       close("the member sent an answer without an outstanding command");
       return;
@@ -477,9 +480,8 @@
       return;
     }
     ended = true;
-    List<Outstanding> lost = List.copyOf(outstanding);
+    List<OutstandingCommands.Sent> lost = outstanding.takeAll();
     List<Waiting> unsent = List.copyOf(waiting);
-    outstanding.clear();
     waiting.clear();
     slots.cancelWait(this);
     lost.stream().filter(each -> each.slot() != null).forEach(each -> slots.lost(each.slot()));
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -1,7 +1,5 @@
 package org.streamcourse.connection.member;
 
-import static net.logstash.logback.argument.StructuredArguments.keyValue;
-
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.streamcourse.process.Worker;
@@ -51,8 +49,9 @@
   private final LinkDispatcher dispatcher;
   private final RelayedLinks relayed;
   private RegisteredMember member;
-  private final LinkAllowance allowance = new LinkAllowance();
+  private final LinkAllowance allowance;
   private boolean retired;
+  private boolean closingSilent;
   private final DrainTimer drainTimer = new DrainTimer();
   private final MemberState state;
 
@@ -79,6 +78,7 @@
     this.service = service;
     this.member = member;
     this.health = new MemberHealth(worker, service + '/' + member.id(), onHealthChange);
+    this.allowance = new LinkAllowance(service + '/' + member.id());
     this.dispatcher = new LinkDispatcher(worker, pool, allowance, openings, this::open);
     this.relayed = new RelayedLinks(worker, relay, service, member.id(), dispatcher.slots(), this);
     this.state = MemberState.of(worker, this, pool);
@@ -106,7 +106,6 @@
    */
   public void update(RegisteredMember agreed, LinkShare agreedShare) {
     member = agreed;
-    logRole(allowance.share().role(), agreedShare);
     allowance.update(agreedShare);
     dispatcher.slots().update(agreedShare.slots());
     if (member.draining() && drainTimer.start(worker.now())) {
@@ -121,19 +120,6 @@
     }
   }
 
-  private void logRole(LinkShare.Role before, LinkShare share) {
-    boolean holds = share.role() != LinkShare.Role.ASKER || before != LinkShare.Role.ASKER;
-    if (share.hasOwner() && holds && share.role() != before) {
-      LOG.info(
-          "role for a member's connections {} {} {} {} {}",
-          keyValue("member", service + '/' + member.id()),
-          keyValue("role", share.role()),
-          keyValue("before", before),
-          keyValue("links", share.links()),
-          keyValue("slots", share.slots()));
-    }
-  }
-
   /**
    * Returns whether this node may have links of its own to the member.
    *
@@ -196,7 +182,7 @@
     return holdsLinks() && !relaysToOwner() ? !health.isUnreachable() : relayed.isAvailable();
   }
 
-  /** Returns whether requests go to the owner first; false for some time after relaying failed. */
+  /** Returns false for some time after relaying to the owner has failed. */
   private boolean relaysToOwner() {
     return allowance.prefersOwner() && relayed.isAvailable();
   }
@@ -384,6 +370,21 @@
     release(link);
   }
 
+  /**
+   * Closes a link whose user no longer waits for an outstanding answer. If that has been missing
+   * for long, idle links may have gone silent as well and are closed too.
+   *
+   * @param link link that was granted
+   */
+  public void drop(MemberLink link) {
+    long sinceMillis = link.oldestUnansweredMillis();
+    link.close();
+    release(link);
+    if (sinceMillis < worker.now() - AnswerLimits.SUSPECT_MILLIS) {
+      pool.closeIdleUnansweredSince(sinceMillis);
+    }
+  }
+
   private void refuseWaiting(String cause) {
     dispatcher.takeWaiting().forEach(each -> each.refused(cause, RETRY_MILLIS));
   }
@@ -423,7 +424,7 @@
     boolean neverOpened = openings.end(link);
     if (refusal != null) {
       onLinkRefused(refusal);
-    } else if (neverOpened) {
+    } else if (neverOpened && !closingSilent) {
       openings.pause(RETRY_MILLIS);
       if (!health.respondedRecently() || pool.isEmpty()) {
         markUnreachable(cause);
@@ -467,6 +468,9 @@
 
   /** Checks the member's health and the fallback's end; to be called a few times per second. */
   public void check() {
+    closingSilent = true;
+    pool.closeSilent();
+    closingSilent = false;
     endExpiredFallback();
     if (retired || !holdsLinks()) {
       return;
--- /dev/null
+++ b/server/src/main/java/org/streamcourse/connection/member/OutstandingCommands.java
@@ -0,0 +1,67 @@
+package org.streamcourse.connection.member;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** The commands of one link that were sent and not answered yet, in the order of their sending. */
+final class OutstandingCommands {
+  /**
+   * A command that was sent.
+   *
+   * @param command the command
+   * @param listener is notified of the outcome
+   * @param sentMillis worker time of sending
+   * @param slot slot of the member that the command takes, null when it takes none
+   */
+  record Sent(
+      MemberCommand command, CommandListener listener, long sentMillis, MemberSlots.Use slot) {}
+
+  private final Deque<Sent> commands = new ArrayDeque<>();
+  private long lastAnswerMillis;
+
+  boolean isEmpty() {
+    return commands.isEmpty();
+  }
+
+  void add(Sent sent) {
+    commands.addLast(sent);
+  }
+
+  /** Removes and returns the oldest command, which was answered; null when there is none. */
+  Sent takeAnswered(long now) {
+    lastAnswerMillis = now;
+    return commands.pollFirst();
+  }
+
+  /** Removes and returns all commands, oldest first. */
+  List<Sent> takeAll() {
+    List<Sent> all = List.copyOf(commands);
+    commands.clear();
+    return all;
+  }
+
+  /** Returns when the oldest command was sent, or {@link Long#MAX_VALUE}. */
+  long oldestMillis() {
+    return commands.isEmpty() ? Long.MAX_VALUE : commands.peekFirst().sentMillis();
+  }
+
+  /**
+   * Returns when the oldest command was sent if its answer is overdue, else {@link Long#MAX_VALUE}.
+   * Its time counts from when it became the oldest.
+   */
+  long overdueSinceMillis(long now) {
+    if (commands.isEmpty()) {
+      return Long.MAX_VALUE;
+    }
+    Sent oldest = commands.peekFirst();
+    long waitsSince = Math.max(oldest.sentMillis(), lastAnswerMillis);
+    boolean overdue = now - waitsSince > AnswerLimits.of(oldest.command());
+    return overdue ? oldest.sentMillis() : Long.MAX_VALUE;
+  }
+
+  /** Returns whether a command was answered at or after a time. */
+  boolean hasAnswerSince(long sinceMillis) {
+    return lastAnswerMillis >= sinceMillis;
+  }
+}
--- a/server/src/main/java/org/streamcourse/connection/member/TcpMemberDialer.java
+++ b/server/src/main/java/org/streamcourse/connection/member/TcpMemberDialer.java
@@ -7,8 +7,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import jdk.net.ExtendedSocketOptions;
 import org.streamcourse.process.FatalErrors;
 import org.streamcourse.request.statement.Answer;
 
@@ -16,6 +18,12 @@
 public final class TcpMemberDialer implements MemberDialer {
   private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
 
+  /** Idle time of a connection after which its other end is probed. */
+  private static final int KEEP_ALIVE_IDLE_SECONDS = 3;
+
+  private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+  private static final int KEEP_ALIVE_PROBES = 3;
+
   private final EventLoopGroup loop;
   private final MemberProtocol protocol;
 
@@ -36,6 +44,12 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+        .option(
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+            KEEP_ALIVE_INTERVAL_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<Channel>() {
--- a/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
+++ b/server/src/main/java/org/streamcourse/connection/relay/RelayedWork.java
@@ -354,8 +354,7 @@
       return;
     }
     if (working && !link.cancelWaiting()) {
-      link.close();
-      links.release(link);
+      links.drop(link);
     } else {
       links.releaseRolledBack(link);
     }
--- a/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
+++ b/server/src/main/java/org/streamcourse/connection/session/ClientTransaction.java
@@ -144,9 +144,7 @@
   }
 
   private void closeLink() {
-    MemberLink dropped = takeLink();
-    dropped.close();
-    links.release(dropped);
+    links.drop(takeLink());
   }
 
   /** The statement that is running. */
--- a/server/src/main/java/org/streamcourse/request/routing/BorrowedLink.java
+++ b/server/src/main/java/org/streamcourse/request/routing/BorrowedLink.java
@@ -32,9 +32,7 @@
 
   /** Closes the link, because an answer on it is outstanding. */
   void close() {
-    MemberLink closed = detach();
-    closed.close();
-    pool.release(closed);
+    pool.drop(detach());
   }
 
   /** Reports to the pool that the link has ended by itself. */
--- a/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
+++ b/server/src/main/java/org/streamcourse/request/routing/PositionProbe.java
@@ -27,6 +27,9 @@
   /** Longest time for which the probe waits for a connection. */
   private static final long MAX_WAIT_MILLIS = 500;
 
+  /** Longest time until the answer, also if another node's link to the primary is silent. */
+  private static final long ANSWER_TIMEOUT_MILLIS = 1_500;
+
   private static final int HIGHEST_PRIORITY = 0;
 
   private final Worker worker;
@@ -73,6 +76,7 @@
     private final TenantId tenant;
     private MemberLink link;
     private long sentMillis;
+    private boolean ended;
 
     ProbeRequest(MemberLinks links, TenantId tenant) {
       this.links = links;
@@ -117,6 +121,7 @@
       link = granted;
       sentMillis = worker.now();
       link.run(new MemberCommand.BeginTransaction(false, null), this);
+      worker.schedule(ANSWER_TIMEOUT_MILLIS, this::timedOut);
     }
 
     @Override
@@ -129,8 +134,20 @@
       }
     }
 
+    private void timedOut() {
+      if (!ended) {
+        ended = true;
+        links.drop(link);
+        end();
+      }
+    }
+
     @Override
     public void answered(Answer answer) {
+      if (ended) {
+        return;
+      }
+      ended = true;
       if (answer.isComplete() && answer.position() != null) {
         members.markPrimary(links.member().id());
         members.recordPrimaryPosition(sentMillis, answer.position());
@@ -143,8 +160,11 @@
 
     @Override
     public void lost(String cause) {
-      links.release(link);
-      end();
+      if (!ended) {
+        ended = true;
+        links.release(link);
+        end();
+      }
     }
   }
 }
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -134,6 +134,23 @@
     broken.forEach(each -> each.listener.closed("the connection was reset"));
   }
 
+  /** Makes all open connections silent: nothing sent on them arrives any more; new ones work. */
+  void silenceConnections() {
+    introducedChannels.forEach(each -> each.silent = true);
+  }
+
+  /** Starts a read-write transaction, which is added to {@link #opened}. */
+  void begin(String id) {
+    StatementRequest request =
+        new StatementRequest(new StatementId(id), "BEGIN", new Statement.Begin(false));
+    start(request, StatementPlan.PRIMARY_TRANSACTION);
+  }
+
+  /** Returns the node's links to a member. */
+  MemberLinks linksTo(String member) {
+    return table.service(SERVICE).links(new MemberId(member));
+  }
+
   /** Removes all members from the image. */
   void removeMembers() {
     table.update(withoutMembers());
@@ -280,6 +297,7 @@
     private SessionState state = SessionState.IDLE;
     private long busyUntil;
     private boolean closed;
+    private boolean silent;
     private boolean introduced;
     private TenantId tenant = TenantId.NONE;
 
@@ -290,6 +308,9 @@
 
     @Override
     public void send(MemberCommand command) {
+      if (silent) {
+        return;
+      }
       commands.computeIfAbsent(member, any -> new ArrayList<>()).add(command);
       busyUntil = Math.max(worker.now(), busyUntil) + workMillis(command);
       worker.schedule(busyUntil - worker.now(), () -> answer(command));
@@ -303,7 +324,7 @@
     }
 
     private void answer(MemberCommand command) {
-      if (closed) {
+      if (closed || silent) {
         return;
       }
       if (command instanceof MemberCommand.Introduce && !hasRoom(member)) {
