--- a/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/IdleLinks.java
@@ -41,7 +41,7 @@
   /** Removes and returns the links over which nothing was answered since a time. */
   List<MemberLink> takeUnansweredSince(long sinceMillis) {
     List<MemberLink> unanswered =
-        links.stream().filter(link -> !link.hasAnsweredSince(sinceMillis)).toList();
+        links.stream().filter(link -> !link.outstanding().hasAnswerSince(sinceMillis)).toList();
     links.removeAll(unanswered);
     return unanswered;
   }
--- a/server/src/main/java/org/streamcourse/connection/member/LinkPool.java
+++ b/server/src/main/java/org/streamcourse/connection/member/LinkPool.java
@@ -106,11 +106,13 @@
   /**
    * Closes the links whose oldest command has been unanswered for too long, and the idle links that
    * may have gone silent with them.
+   *
+   * @param now worker time in milliseconds
    */
-  void closeSilent() {
+  void closeSilent(long now) {
     long sinceMillis = Long.MAX_VALUE;
     for (MemberLink link : List.copyOf(links)) {
-      long overdueSince = link.overdueSinceMillis();
+      long overdueSince = link.outstanding().overdueSinceMillis(now);
       if (overdueSince != Long.MAX_VALUE) {
         sinceMillis = Math.min(sinceMillis, overdueSince);
         LOG.warn("closes a link to {}: an answer is overdue", link.member());
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLink.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.streamcourse.process.Worker;
 import org.streamcourse.request.statement.Answer;
 import org.streamcourse.request.statement.PreparedShape;
@@ -18,12 +20,15 @@
  * prepared statements of the connection, and sets them to those of a session before a statement
  * runs.
  *
- * <p>Invariants: commands are answered in the order in which they were sent; a link with an
+ * <p>Invariants: commands are answered in the order in which they were sent, and an answer that
+ * can't be that to the oldest command ends the link ({@link AnswerMatch}); a link with an
  * outstanding answer is never granted to another session; it carries statements of one tenant only.
  *
  * <p>All methods run on the proxy's worker.
  */
 public final class MemberLink implements MemberChannel.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(MemberLink.class);
+
   private static final int MAX_PREPARED = 256;
   private static final String PREPARED_PREFIX = "p";
 
@@ -153,17 +158,14 @@
     return outstanding.oldestMillis();
   }
 
-  /**
-   * Returns when the oldest unanswered command was sent if its answer is overdue, else {@link
-   * Long#MAX_VALUE}.
-   */
-  long overdueSinceMillis() {
-    return outstanding.overdueSinceMillis(worker.now());
+  /** Returns the commands that were sent and are unanswered. */
+  OutstandingCommands outstanding() {
+    return outstanding;
   }
 
-  /** Returns whether the member has answered over this link since a time. */
-  boolean hasAnsweredSince(long sinceMillis) {
-    return outstanding.hasAnswerSince(sinceMillis);
+  /** Returns whether a command was sent and not answered, or waits to be sent. */
+  boolean hasOutstanding() {
+    return !outstanding.isEmpty() || !waiting.isEmpty();
   }
 
   // ---- use by a session ----
@@ -458,11 +460,17 @@
       return;
     }
     owner.responded(this);
-    OutstandingCommands.Sent command = outstanding.takeAnswered(worker.now());
-    if (command == null) {
-      close("the member sent an answer without an outstanding command");
+    if (!outstanding.fits(answer)) {
+      String cause =
+          "the answer "
+              + answer.code()
+              + " is not that to the oldest command, "
+              + outstanding.oldestKind();
+      LOG.warn("closes a link to {}/{}: {}", service, member, cause);
+      close(cause);
       return;
     }
+    OutstandingCommands.Sent command = outstanding.takeAnswered(worker.now());
     state = answer.state();
     if (command.slot() != null) {
       slotMillis += command.slot().tookMillis(worker.now());
--- a/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
+++ b/server/src/main/java/org/streamcourse/connection/member/MemberLinks.java
@@ -339,7 +339,7 @@
     if (!link.isOpen()) {
       return;
     }
-    if (acceptsNoWork() || pool.size() > allowance.maxLinks()) {
+    if (link.hasOutstanding() || acceptsNoWork() || pool.size() > allowance.maxLinks()) {
       link.close();
       return;
     }
@@ -469,7 +469,7 @@
   /** Checks the member's health and the fallback's end; to be called a few times per second. */
   public void check() {
     closingSilent = true;
-    pool.closeSilent();
+    pool.closeSilent(worker.now());
     closingSilent = false;
     endExpiredFallback();
     if (retired || !holdsLinks()) {
--- a/server/src/main/java/org/streamcourse/connection/member/OutstandingCommands.java
+++ b/server/src/main/java/org/streamcourse/connection/member/OutstandingCommands.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import org.streamcourse.request.statement.Answer;
 
 /** The commands of one link that were sent and not answered yet, in the order of their sending. */
 final class OutstandingCommands {
@@ -28,7 +29,17 @@
     commands.addLast(sent);
   }
 
-  /** Removes and returns the oldest command, which was answered; null when there is none. */
+  /** Returns whether an answer can be that to the oldest command; false when there is none. */
+  boolean fits(Answer answer) {
+    return !commands.isEmpty() && AnswerMatch.fits(commands.peekFirst().command(), answer);
+  }
+
+  /** Returns the kind of the oldest command, for logs. */
+  String oldestKind() {
+    return commands.isEmpty() ? "none" : commands.peekFirst().command().getClass().getSimpleName();
+  }
+
+  /** Removes and returns the oldest command, which was answered. */
   Sent takeAnswered(long now) {
     lastAnswerMillis = now;
     return commands.pollFirst();
--- a/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
+++ b/server/src/test/java/org/streamcourse/connection/member/MemberSlotsTest.java
@@ -68,12 +68,12 @@
           command instanceof MemberCommand.BeginTransaction
               ? SessionState.TRANSACTION
               : SessionState.IDLE;
-      answer();
+      answer(Answer.NO_SIGNATURE);
     }
 
-    private void answer() {
+    private void answer(String signature) {
       listener.answered(
-          new Answer(List.of(), AnswerCode.COMPLETE, "", state, new TermPosition(1, 1)));
+          new Answer(List.of(), AnswerCode.COMPLETE, signature, state, new TermPosition(1, 1)));
     }
 
     @Override
@@ -197,7 +197,7 @@
   }
 
   private void answerOldest() {
-    running.poll().answer();
+    running.poll().answer("signed");
     pass(1);
   }
 
--- a/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
+++ b/server/src/test/java/org/streamcourse/process/ScriptedProxy.java
@@ -317,6 +317,10 @@
       worker.schedule(busyUntil - worker.now(), () -> answer(command));
     }
 
+    private static String signature(MemberCommand command) {
+      return command instanceof MemberCommand.Run ? "signed" : Answer.NO_SIGNATURE;
+    }
+
     private void answer(MemberCommand command) {
       if (closed) {
         return;
@@ -346,7 +350,7 @@
         run(run.text());
       }
       listener.answered(
-          new Answer(List.of(), AnswerCode.COMPLETE, "signed", state, member.position()));
+          new Answer(List.of(), AnswerCode.COMPLETE, signature(command), state, member.position()));
     }
 
     private void run(String text) {
--- a/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
+++ b/server/src/test/java/org/streamcourse/request/routing/ScriptedService.java
@@ -374,7 +374,7 @@
     }
 
     private static String signature(MemberCommand command) {
-      return command instanceof MemberCommand.Run run ? "signed " + run.id() : "signature";
+      return command instanceof MemberCommand.Run run ? "signed " + run.id() : Answer.NO_SIGNATURE;
     }
 
     @Override
