A primary that drains after it was unreachable steps down before the choice; findings of this round

Found by reading: replicas that were paused while the primary could not be reached let the choice be made at once when it was reachable again and drained, without its step-down, and the primary kept all its slots meanwhile. The choice now waits for the step-down, and the paused replicas are resumed until then. aPrimaryThatIsReachableAgainAndDrainsStepsDownBeforeTheChoice fails without the change.

--- a/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
+++ b/server/src/main/java/org/streamcourse/version/control/ReplicaFence.java
@@ -113,17 +113,26 @@
    * @param primaryReachable whether the service's primary is registered and can be reached
    */
   void advance(ServiceImage service, boolean primaryReachable) {
-    Optional<RegisteredMember> leaving =
-        service.member(service.primary()).filter(each -> each.draining() && primaryReachable);
-    if (leaving.isPresent() && !steppedDown.equals(service.primary())) {
-      if (mayStepDown(service)) {
-        stepDown(service, leaving.get());
+    if (awaitsStepDown(service, primaryReachable)) {
+      boolean mayStepDown = mayStepDown(service);
+      replicas(service)
+          .filter(each -> !(each.draining() && awaitsCatchUp) && requestsTo(each).isFenced())
+          .forEach(member -> resume(service, member));
+      if (mayStepDown) {
+        stepDown(service, service.members().get(service.primary()));
       }
       return;
     }
     replicas(service).forEach(member -> pause(service, member));
   }
 
+  /** Returns whether the draining primary can be reached and hasn't confirmed its step-down. */
+  private boolean awaitsStepDown(ServiceImage service, boolean primaryReachable) {
+    boolean leaving =
+        service.member(service.primary()).filter(RegisteredMember::draining).isPresent();
+    return leaving && primaryReachable && !steppedDown.equals(service.primary());
+  }
+
   /**
    * Keeps the service fenced until an ordered promotion has taken effect.
    *
@@ -154,9 +163,8 @@
       return true;
     }
     if (clock.getAsLong() - startedMillis > CATCH_UP_MILLIS) {
-      awaitsCatchUp = false;
       LOG.info("replicas of {} have not caught up with its draining ones", service.name());
-      drainingReplicas(service).forEach(member -> resume(service, member));
+      awaitsCatchUp = false;
       return true;
     }
     drainingReplicas(service).forEach(member -> pause(service, member));
@@ -192,6 +200,9 @@
 
   private void resume(ServiceImage service, RegisteredMember member) {
     Requests requests = requestsTo(member);
+    if (!requests.isDue(clock.getAsLong())) {
+      return;
+    }
     begin(requests);
     probe.resume(service.name(), member, status -> onWorker.accept(() -> end(requests, status)));
   }
@@ -256,7 +267,10 @@
   Optional<MemberId> latest(
       ServiceImage service, boolean primaryReachable, Predicate<MemberId> lost) {
     boolean mayBeUnregistered = clock.getAsLong() - steppedDownMillis < REGISTRATION_MILLIS;
-    if (mayBeUnregistered || replicas(service).anyMatch(each -> blocks(service, each, lost))) {
+    if (mayBeUnregistered || awaitsStepDown(service, primaryReachable)) {
+      return Optional.empty();
+    }
+    if (replicas(service).anyMatch(each -> blocks(service, each, lost))) {
       return Optional.empty();
     }
     List<RegisteredMember> candidates =
--- a/server/src/test/java/org/streamcourse/version/control/SynchronousReplicasTest.java
+++ b/server/src/test/java/org/streamcourse/version/control/SynchronousReplicasTest.java
@@ -329,6 +329,26 @@
     assertEquals(members.steppedDown, List.of());
   }
 
+  /**
+   * Guards against lost commits, and against a step-down that gets no slot: the replicas were
+   * paused while the primary was unreachable, and it can be reached again when it drains.
+   */
+  @Test
+  public void aPrimaryThatIsReachableAgainAndDrainsStepsDownBeforeTheChoice() {
+    members.withoutSlot.add(new MemberId("i-1"));
+    setLogEnd("i-2", 10);
+    reportUnreachable("i-1");
+    assertEquals(ordered(), List.of());
+    assertEquals(members.paused, Set.of(new MemberId("i-2")));
+    reportPosition("i-1", 14);
+    drainPrimary();
+    setLogEnd("i-3", 12);
+    assertEquals(orderedAfter(1_000), List.of());
+    assertEquals(members.paused, Set.of(), "writes give back their slots");
+    members.withoutSlot.clear();
+    assertEquals(orderedAfter(1_000), List.of("i-3"));
+  }
+
   private void orderSuccessorOfCrashedPrimary() {
     setLogEnd("i-2", 10);
     setLogEnd("i-3", 12);
